A conflict of a never-repeat request is logged with what control knows

Cause: a call beside a frozen replica ended as 'may have run' now and then, and nothing in the logs said what control had answered to its claim. Change: an event call_conflict names the claim's state and control's message. Seen: the tests of entry calls, resends and events pass.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from cicadawheel.control.command import Outcome
 from cicadawheel.entry.answer import Answer, answer_refusal
 from cicadawheel.entry.attempts import Attempt, Attempts
 from cicadawheel.entry.body import RequestBody
@@ -168,7 +169,19 @@
             self._claim = claim
             self._try()
         else:
-            self._respond(answer_resend(outcome, self.plan.request), CallEnd.RESENT)
+            self._answer_resend(outcome)
+
+    def _answer_resend(self, outcome: Outcome) -> None:
+        if outcome.answer is None:
+            log_event(
+                log,
+                "call_conflict",
+                request=self.plan.request,
+                service=self.plan.service,
+                claim=outcome.claim or "refused",
+                reason=outcome.message,
+            )
+        self._respond(answer_resend(outcome, self.plan.request), CallEnd.RESENT)
 
     def _try(self) -> None:
         self.state = CallState.TRYING
