--- a/cicadawheel/announcement.py
+++ b/cicadawheel/announcement.py
@@ -24,7 +24,8 @@
     """An upstream is there and takes requests at ``host:port``.
 
     It is sent again at least every `AnnounceAnswer.repeat_ms`. ``boot`` changes
-    with each start of the upstream.
+    with each start of the upstream. ``cold_ms`` is how long it stays cold, if it
+    knows that.
     """
 
     upstream: Annotated[UpstreamId, msgspec.Meta(min_length=1, max_length=200)]
@@ -37,6 +38,7 @@
     host: NotEmpty = "127.0.0.1"
     health_path: str = "/health"
     load_path: str = "/load"
+    cold_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class AnnounceAnswer(msgspec.Struct, frozen=True):
@@ -53,8 +55,13 @@
 
 
 class UpstreamLoad(msgspec.Struct, frozen=True):
-    """What an upstream reports at its load path; it may lag or mislead."""
+    """What an upstream reports at its load path; it may lag or mislead.
+
+    ``slowness`` is how many times the usual its work takes at this moment.
+    """
 
     in_flight: int
     slots: int
     cold: bool = False
+    queued: int = 0
+    slowness: float = 1.0
--- a/cicadawheel/configuration.py
+++ b/cicadawheel/configuration.py
@@ -9,6 +9,7 @@
     Epoch,
     NodeId,
     Revision,
+    RouteName,
     ServiceName,
     UpstreamId,
     VersionName,
@@ -23,10 +24,15 @@
 
 
 class RepeatRule(Enum):
-    """Whether a request may be sent to upstreams more than once."""
+    """Whether a request may be sent to upstreams more than once.
+
+    ``NEVER`` holds for all sendings of an idempotency key, ``ONCE`` for one sending
+    of a caller, which reaches one entry only and needs no claim.
+    """
 
     REPEATABLE = "repeatable"
     NEVER = "never"
+    ONCE = "once for each attempt"
 
 
 class ReleaseState(Enum):
@@ -50,6 +56,41 @@
     deadline_ms: float
 
 
+class ServiceShare(msgspec.Struct, frozen=True, array_like=True):
+    """A service's part of a route's requests, relative to the other parts."""
+
+    service: ServiceName
+    weight: float
+
+
+class HostRoute(msgspec.Struct, frozen=True):
+    """What holds for the requests of one host below one path prefix.
+
+    ``name`` is the host and the prefix, which no other route has. An answer is worth
+    most within ``target_ms``. ``priority`` 0 goes first. ``attempts`` is the most
+    upstreams that one request may reach.
+    """
+
+    name: RouteName
+    host: str
+    path_prefix: str
+    repeat: RepeatRule
+    shares: tuple[ServiceShare, ...]
+    deadline_ms: float
+    target_ms: float
+    priority: int
+    attempts: int
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """What a caller may send, and how long it may take; 0 leaves it to the settings."""
+
+    head_bytes: int = 0
+    body_bytes: int = 0
+    head_timeout_ms: float = 0.0
+    idle_timeout_ms: float = 0.0
+
+
 class ReleaseHabits(msgspec.Struct, frozen=True):
     """How a service's new versions are brought in."""
 
@@ -63,7 +104,8 @@
     """One service: its routes in order of precedence, and its habits.
 
     ``current_version`` is empty until a release has completed; any version is
-    then served.
+    then served. An upstream is cold for ``cold_ms`` after its start, and bears
+    ``cold_calls_per_s`` meanwhile; 0 where neither is known.
     """
 
     name: ServiceName
@@ -73,6 +115,10 @@
     hedge_after_quantile: float = 0.0
     habits: ReleaseHabits = ReleaseHabits()
     current_version: VersionName = VersionName("")
+    health_path: str = ""
+    connections: int = 0
+    cold_ms: float = 0.0
+    cold_calls_per_s: float = 0.0
 
 
 class DataCentreRule(msgspec.Struct, frozen=True):
@@ -118,7 +164,11 @@
 
 
 class Configuration(msgspec.Struct, frozen=True):
-    """Everything that operators decide, at one revision."""
+    """Everything that operators decide, at one revision.
+
+    Where ``routes`` is not empty, callers choose by host and path, and by the name
+    of the service otherwise.
+    """
 
     revision: Revision = Revision(0)
     services: dict[ServiceName, ServiceRule] = {}
@@ -126,6 +176,8 @@
     releases: tuple[ReleaseRule, ...] = ()
     withdrawn: tuple[Withdrawal, ...] = ()
     measuring: MeasuringBudget = MeasuringBudget()
+    routes: dict[RouteName, HostRoute] = {}
+    callers: CallerLimits = CallerLimits()
 
     def is_withdrawn(self, service: ServiceName, version: VersionName) -> bool:
         """Return whether a version of a service was taken back."""
--- /dev/null
+++ b/cicadawheel/configuration_check.py
@@ -0,0 +1,53 @@
+"""Whether rules that operators wrote hold together, before they are put in force."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from cicadawheel.configuration import HostRoute, ServiceRule
+from cicadawheel.errors import CommandRefusedError
+
+LONGEST_DEADLINE_MS = 600_000.0
+"""Ten minutes, the longest that the platform lets a route ask for."""
+
+TARGET_EXCESS_LIMIT_MS = 60_000.0
+"""A target that lies so far beyond its deadline is a mistake, not a wish."""
+
+
+def check_rules(services: Iterable[ServiceRule], routes: Iterable[HostRoute]) -> None:
+    """Refuse rules that contradict each other.
+
+    Raises
+    ------
+    CommandRefusedError
+        The message names the first route or service at fault, and the fault.
+    """
+    services, routes = tuple(services), tuple(routes)
+    names = {service.name for service in services}
+    _check_distinct("service", (service.name for service in services))
+    _check_distinct("route", (route.name for route in routes))
+    for route in routes:
+        fault = _fault_of(route, names)
+        if fault:
+            raise CommandRefusedError(f"route {route.name}: {fault}", step="check")
+
+
+def _check_distinct(kind: str, names: Iterable[str]) -> None:
+    for name, count in Counter(names).items():
+        if count > 1:
+            raise CommandRefusedError(f"{kind} {name} is there twice", step="check")
+
+
+def _fault_of(route: HostRoute, services: set[str]) -> str:
+    unknown = [s.service for s in route.shares if s.service not in services]
+    weights = [share.weight for share in route.shares]
+    if unknown:
+        return f"service {unknown[0]} is unknown"
+    if min(weights) < 0 or sum(weights) <= 0:
+        return "the weights are not above 0"
+    if not 0 < route.deadline_ms <= LONGEST_DEADLINE_MS:
+        return f"a deadline of {route.deadline_ms:g} ms is out of range"
+    if route.target_ms - route.deadline_ms >= TARGET_EXCESS_LIMIT_MS:
+        return f"a target of {route.target_ms:g} ms is far above the deadline"
+    if route.attempts < 1:
+        return "it allows no attempt"
+    return ""
--- a/cicadawheel/configuration_delta.py
+++ b/cicadawheel/configuration_delta.py
@@ -6,20 +6,22 @@
 import msgspec
 
 from cicadawheel.configuration import (
+    CallerLimits,
     Configuration,
     DataCentreRule,
+    HostRoute,
     MeasuringBudget,
     ReleaseRule,
     ServiceRule,
     Withdrawal,
 )
-from cicadawheel.ids import DataCentreName, Revision, ServiceName
+from cicadawheel.ids import DataCentreName, Revision, RouteName, ServiceName
 
 
 class ConfigurationDelta(msgspec.Struct, frozen=True, array_like=True):
     """What a newer configuration has changed.
 
-    ``withdrawn`` and ``measuring`` are None when they are the same.
+    ``withdrawn``, ``measuring`` and ``callers`` are None when they are the same.
     """
 
     revision: Revision
@@ -31,6 +33,9 @@
     releases_gone: tuple[ServiceName, ...]
     withdrawn: tuple[Withdrawal, ...] | None
     measuring: MeasuringBudget | None
+    routes: tuple[HostRoute, ...] = ()
+    routes_gone: tuple[RouteName, ...] = ()
+    callers: CallerLimits | None = None
 
 
 def make_delta(old: Configuration, new: Configuration) -> ConfigurationDelta:
@@ -47,6 +52,9 @@
         releases_gone=_gone(old_releases, new_releases),
         withdrawn=None if old.withdrawn == new.withdrawn else new.withdrawn,
         measuring=None if old.measuring == new.measuring else new.measuring,
+        routes=_changed(old.routes, new.routes),
+        routes_gone=_gone(old.routes, new.routes),
+        callers=None if old.callers == new.callers else new.callers,
     )
 
 
@@ -64,6 +72,8 @@
         releases=(*kept, *delta.releases),
         withdrawn=old.withdrawn if delta.withdrawn is None else delta.withdrawn,
         measuring=old.measuring if delta.measuring is None else delta.measuring,
+        routes=_merge(old.routes, delta.routes, delta.routes_gone),
+        callers=old.callers if delta.callers is None else delta.callers,
     )
 
 
--- /dev/null
+++ b/cicadawheel/control/assembly.py
@@ -0,0 +1,83 @@
+"""How a replica that is told only a few addresses finds its name and its peers.
+
+Deployments that list their replicas by name need none of this.
+"""
+
+import secrets
+
+import msgspec
+
+from cicadawheel.control.storage import DiskFiles
+from cicadawheel.control.storage.identity import Identity
+from cicadawheel.control.storage.store import IDENTITY_NAME
+from cicadawheel.control.storage.value import read_value
+from cicadawheel.ids import ReplicaId
+from cicadawheel.settings import Address, ReplicaAddress, Settings
+
+NAME_SUFFIX_BYTES = 4
+"""Random bytes in the name of a replica that joins: two of a host must differ."""
+
+
+def name_replica(settings: Settings) -> Settings:
+    """Return the settings with the replica's name and the first replicas.
+
+    At the first start of a deployment, the seeds take the names of their hosts and
+    form the first membership. Any other empty folder gets a name of its own, so that
+    a machine that lost its disk never passes for the replica that it was.
+
+    Raises
+    ------
+    StorageError
+        The data folder can't be read.
+    """
+    control = settings.control
+    if not control.seeds:
+        return settings
+    own = control.replica_address
+    initial = tuple(
+        ReplicaAddress(ReplicaId(seed.host), Address(seed.host, own.port))
+        for seed in control.seeds
+    )
+    identity = _read_identity(control.data_folder)
+    if identity is None:
+        clear_folder(settings)
+    forms = control.may_form and own.host in {seed.host for seed in control.seeds}
+    if identity is not None:
+        replica = identity.replica
+    elif forms:
+        replica = ReplicaId(own.host)
+    else:
+        replica = ReplicaId(f"{own.host}-{secrets.token_hex(NAME_SUFFIX_BYTES)}")
+    named = msgspec.structs.replace(control, replica=replica, replicas=initial)
+    return msgspec.structs.replace(settings, control=named)
+
+
+def clear_folder(settings: Settings) -> None:
+    """Remove what a replica kept that is no member any more.
+
+    Raises
+    ------
+    StorageError
+        The data folder can't be written.
+    """
+    files = DiskFiles(settings.control.data_folder)
+    try:
+        # A folder without an identity counts as empty, whatever else is left.
+        if IDENTITY_NAME in files.names():
+            files.remove(IDENTITY_NAME)
+            files.sync_folder()
+        for name in files.names():
+            files.remove(name)
+        files.sync_folder()
+    finally:
+        files.close()
+
+
+def _read_identity(folder: str) -> Identity | None:
+    files = DiskFiles(folder)
+    try:
+        if IDENTITY_NAME not in files.names():
+            return None
+        return read_value(files, IDENTITY_NAME, Identity)
+    finally:
+        files.close()
--- a/cicadawheel/control/command.py
+++ b/cicadawheel/control/command.py
@@ -27,6 +27,9 @@
     VersionName,
 )
 
+ANY_REVISION = Revision(-1)
+"""Expected by commands that hold whatever came before them."""
+
 
 class Command(msgspec.Struct, frozen=True, tag=True, kw_only=True):
     """Base of all commands.
@@ -42,7 +45,8 @@
     """Base of the commands of operators.
 
     ``expected_revision`` is the revision that the operator saw. The command is
-    refused as a conflict when the configuration has moved on.
+    refused as a conflict when the configuration has moved on, unless it is
+    `ANY_REVISION`.
     """
 
     operation: OperationId
@@ -55,6 +59,21 @@
     configuration: Configuration
 
 
+class PutDocument(Command, tag="put_document", kw_only=True):
+    """Replaces the operators' document, and puts the rules that it holds in force.
+
+    ``version`` is the document's own number, ``base_version`` that of the document
+    that it replaces, 0 for none. ``document`` is kept as it was sent; ``digest`` is
+    the same when it is sent again.
+    """
+
+    version: int
+    base_version: int
+    document: bytes
+    digest: bytes
+    configuration: Configuration
+
+
 class SetDataCentre(OperatorCommand, tag="set_data_centre", kw_only=True):
     """Takes a data centre out, or brings it back in."""
 
@@ -164,6 +183,7 @@
 
 AnyCommand = (
     ApplyConfiguration
+    | PutDocument
     | SetDataCentre
     | StartRelease
     | StopRelease
@@ -186,6 +206,15 @@
     REFUSED = "refused"
 
 
+class DocumentOutcome(Enum):
+    """What becomes of a document that an operator puts."""
+
+    ACCEPTED = "accepted"
+    KNOWN = "accepted before"
+    CONFLICT = "another version is in place"
+    INVALID = "the version is not above the present one"
+
+
 class ClaimState(Enum):
     """What became of a request that must never repeat."""
 
--- a/cicadawheel/control/daemon.py
+++ b/cicadawheel/control/daemon.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import msgspec
 
 from cicadawheel.configuration import Configuration, Member
+from cicadawheel.control.assembly import clear_folder, name_replica
 from cicadawheel.control.log import MemoryLog
 from cicadawheel.control.messages import NodeToControl
 from cicadawheel.control.metrics import ControlMetrics
-from cicadawheel.control.operators import OperatorServer
+from cicadawheel.control.operators import make_operator_handler
 from cicadawheel.control.replica.status import ReplicaStatus
 from cicadawheel.control.replication import ReplicatedLog, make_replicated_log
 from cicadawheel.control.server import ControlServer
@@ -18,7 +21,8 @@
 from cicadawheel.control.state import make_control_state
 from cicadawheel.control.state.quarantine import Quarantined
 from cicadawheel.control.status import describe_control
-from cicadawheel.http.exchange import serve_http
+from cicadawheel.errors import ReplicaRemovedError
+from cicadawheel.http.exchange import Handler, serve_http
 from cicadawheel.ids import LogIndex, ReplicaId
 from cicadawheel.logs import log_event
 from cicadawheel.operator import ControlStatus
@@ -35,6 +39,9 @@
 _decoder = msgspec.msgpack.Decoder(NodeToControl)
 
 
+MakeHandler = Callable[["ControlDaemon"], Handler]
+
+
 class ControlDump(msgspec.Struct, frozen=True):
     """The state of a control replica, for operators."""
 
@@ -58,12 +65,20 @@
         The settings of the process.
     timers : TimerService
         Where the time comes from.
+    make_handler : callable
+        Returns what answers at the operators' address.
     """
 
-    def __init__(self, settings: Settings, timers: TimerService):
+    def __init__(
+        self,
+        settings: Settings,
+        timers: TimerService,
+        make_handler: MakeHandler = make_operator_handler,
+    ):
         self.settings = settings
+        self._make_handler = make_handler
         self.timers = timers
-        self.replica = ReplicaId(settings.process.name)
+        self.replica = settings.replica
         self.supervisor = Supervisor("control", timers.clock)
         window_ms = settings.control.claim_window_s * MS_PER_S_INT
         self.state = make_control_state(window_ms)
@@ -105,9 +120,7 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set."""
         control = self.settings.control
-        identity = Identity(
-            self.settings.process.name, "", self.settings.process.key.encode()
-        )
+        identity = Identity(self.replica, "", self.settings.process.key.encode())
         streams = await serve_streams(
             control.stream_address.host,
             control.stream_address.port,
@@ -115,9 +128,7 @@
             _decoder,
             lambda: NodeSession(self.server),
         )
-        operators = await serve_http(
-            control.operator_address, OperatorServer(self).handle
-        )
+        operators = await serve_http(control.operator_address, self._make_handler(self))
         log_event(log, "control_started", address=control.stream_address)
         self.supervisor.add("streams", streams.serve_forever)
         self.supervisor.add("operators", operators.serve_forever)
@@ -161,6 +172,18 @@
         return server
 
 
-def run_control(settings: Settings) -> int:
-    """Run a control replica until it is told to stop, and return the exit code."""
-    return run_daemon(settings, ControlDaemon)
+def run_control(
+    settings: Settings, make_handler: MakeHandler = make_operator_handler
+) -> int:
+    """Run a control replica until it is told to stop, and return the exit code.
+
+    ``make_handler`` returns what answers at the operators' address. A replica that
+    was removed from the deployment while it was away begins anew.
+    """
+    while True:
+        named = name_replica(settings)
+        try:
+            return run_daemon(named, partial(ControlDaemon, make_handler=make_handler))
+        except ReplicaRemovedError as error:
+            log_event(log, "replica_begins_anew", replica=named.replica, reason=error)
+            clear_folder(named)
--- a/cicadawheel/control/log.py
+++ b/cicadawheel/control/log.py
@@ -62,6 +62,12 @@
     def send_to_leader(self, data: bytes) -> None:
         """Send data to whoever runs beside the leader; it may be lost."""
 
+    def hosts(self) -> tuple[str, ...]:
+        """Return the hosts of all replicas, if they are known."""
+
+    def is_assembled(self) -> bool:
+        """Return whether as many replicas vote as are wanted."""
+
 
 class MemoryLog:
     """A log of a single replica that keeps nothing.
@@ -89,6 +95,14 @@
         """Return the last index."""
         return self.index
 
+    def hosts(self) -> tuple[str, ...]:
+        """Return nothing: there are no others."""
+        return ()
+
+    def is_assembled(self) -> bool:
+        """Return true: there are no others."""
+        return True
+
     def send_to_leader(self, data: bytes) -> None:
         """Give data to whoever runs beside this replica."""
         if self.on_report is not None:
--- a/cicadawheel/control/messages.py
+++ b/cicadawheel/control/messages.py
@@ -80,6 +80,12 @@
     current: bool
 
 
+class Replicas(Message, tag="replicas"):
+    """The hosts of all replicas, each of which takes nodes on the same port."""
+
+    hosts: tuple[str, ...]
+
+
 class ClaimOpen(Message, tag="claim"):
     """Asks for the right to run a request that must never repeat.
 
@@ -176,5 +182,7 @@
     | SuspectReport
     | EvidenceReport
 )
-ControlToNode = Registered | RegisterAgain | View | ViewDelta | Beat | ClaimAnswer
+ControlToNode = (
+    Registered | RegisterAgain | View | ViewDelta | Beat | Replicas | ClaimAnswer
+)
 ReplicaReport = LeaseReport | EvidenceReport
--- a/cicadawheel/control/operators.py
+++ b/cicadawheel/control/operators.py
@@ -19,6 +19,7 @@
 from cicadawheel.control.replicas import change_replicas
 from cicadawheel.errors import CicadawheelError, NoQuorumError, NotLeaderError
 from cicadawheel.http.exchange import (
+    Handler,
     HttpAnswer,
     HttpRequest,
     json_answer,
@@ -162,3 +163,8 @@
             reason=outcome.message,
         )
         return json_answer(outcome, STATUS_OF_OUTCOME[outcome.state])
+
+
+def make_operator_handler(daemon: "ControlDaemon") -> Handler:
+    """Return what answers operators at a replica's address."""
+    return OperatorServer(daemon).handle
--- /dev/null
+++ b/cicadawheel/control/orders.py
@@ -0,0 +1,158 @@
+"""Orders of operators who name no revision and send again what stays unanswered."""
+
+import hashlib
+import logging
+import uuid
+
+from msgspec.structs import replace
+
+from cicadawheel.configuration import (
+    Configuration,
+    HostRoute,
+    ReleaseRule,
+    ServiceRule,
+)
+from cicadawheel.configuration_check import check_rules
+from cicadawheel.control.command import (
+    ANY_REVISION,
+    AnyCommand,
+    Outcome,
+    OutcomeState,
+    PutDocument,
+    StartRelease,
+)
+from cicadawheel.control.server import ControlServer
+from cicadawheel.errors import NoQuorumError
+from cicadawheel.ids import OperationId, ServiceName, VersionName
+from cicadawheel.logs import log_event
+
+log = logging.getLogger(__name__)
+
+DIGEST_BYTES = 16
+RESEND_MS = 10_000
+"""A release ordered again within this time is the same order, sent again."""
+
+
+class Orders:
+    """Carries orders out at one replica.
+
+    Parameters
+    ----------
+    server : ControlServer
+        The replica.
+    """
+
+    def __init__(self, server: ControlServer):
+        self.server = server
+
+    async def propose(self, command: AnyCommand) -> Outcome:
+        """Commit a command at the time of now, and return its outcome.
+
+        Raises
+        ------
+        NotLeaderError, NoQuorumError
+            No majority confirmed in time; the command may still take effect.
+        """
+        if not self.server.log.is_assembled():
+            raise NoQuorumError("replicas have still to join", step="assemble")
+        now_ms = self.server.clock.unix_ms()
+        outcome = await self.server.log.propose(replace(command, now_ms=now_ms))
+        log_event(
+            log,
+            "order_ended",
+            kind=type(command).__name__,
+            state=outcome.state.value,
+            revision=outcome.revision,
+            reason=outcome.message,
+        )
+        return outcome
+
+    async def put_document(
+        self,
+        version: int,
+        base_version: int,
+        document: bytes,
+        canonical: bytes,
+        services: tuple[ServiceRule, ...],
+        routes: tuple[HostRoute, ...],
+        configuration: Configuration,
+    ) -> Outcome:
+        """Replace the operators' document.
+
+        Parameters
+        ----------
+        version, base_version : int
+            Its number, and that of the document that it replaces.
+        document, canonical : bytes
+            As it was sent, and in a form that is the same for the same content.
+        services, routes : tuple
+            Its rules, in which names may still be there twice.
+        configuration : Configuration
+            Its rules by name.
+
+        Raises
+        ------
+        CommandRefusedError
+            The rules contradict each other.
+        NotLeaderError, NoQuorumError
+            As `propose`.
+        """
+        check_rules(services, routes)
+        digest = hashlib.blake2b(canonical, digest_size=DIGEST_BYTES).digest()
+        command = PutDocument(
+            now_ms=0,
+            version=version,
+            base_version=base_version,
+            document=document,
+            digest=digest,
+            configuration=configuration,
+        )
+        return await self.propose(command)
+
+    async def document(self) -> bytes:
+        """Return the newest document as it was sent, empty for none.
+
+        Raises
+        ------
+        NotLeaderError, NoQuorumError
+            This replica can't be sure which is the newest.
+        """
+        await self.server.log.confirm_read()
+        return self.server.state.documents.document
+
+    async def release(self, service: ServiceName) -> ReleaseRule | None:
+        """Return the newest release of a service, or None.
+
+        Raises
+        ------
+        NotLeaderError, NoQuorumError
+            This replica can't be sure which is the newest.
+        """
+        await self.server.log.confirm_read()
+        return self.server.state.configuration.release_of(service)
+
+    async def start_release(
+        self, service: ServiceName, version: VersionName, duration_ms: float
+    ) -> Outcome:
+        """Start a release, or return that the same one was started just now.
+
+        Raises
+        ------
+        NotLeaderError, NoQuorumError
+            As `propose`.
+        """
+        now_ms = self.server.clock.unix_ms()
+        known = await self.release(service)
+        again = known is not None and known.version == version
+        if again and now_ms - known.started_at_ms < max(RESEND_MS, duration_ms):
+            revision = self.server.state.configuration.revision
+            return Outcome(OutcomeState.DONE, revision, "the release is known")
+        command = StartRelease(
+            now_ms=0,
+            operation=OperationId(uuid.uuid4().hex),
+            expected_revision=ANY_REVISION,
+            service=service,
+            version=version,
+            deadline_at_ms=now_ms + int(duration_ms),
+        )
+        return await self.propose(command)
--- a/cicadawheel/control/raft/leadership.py
+++ b/cicadawheel/control/raft/leadership.py
@@ -12,6 +12,7 @@
     SnapshotReply,
 )
 from cicadawheel.control.raft.progress import Progress
+from cicadawheel.control.raft.voters import next_membership
 from cicadawheel.errors import CommandRefusedError, NotLeaderError
 from cicadawheel.ids import LogIndex, ReplicaId, Term
 
@@ -20,10 +21,16 @@
 
 
 class RaftOptions(msgspec.Struct, frozen=True):
-    """The times of the protocol."""
+    """The times of the protocol, and how many voters are wanted.
+
+    A voter that was silent for ``lost_ms`` makes way for a learner that waits, if
+    there are ``voter_target`` voters. A target of 0 lets every learner vote.
+    """
 
     election_timeout_ms: float
     heartbeat_ms: float
+    voter_target: int = 0
+    lost_ms: float = 5_000.0
 
 
 class ReadReady(msgspec.Struct, frozen=True):
@@ -175,7 +182,7 @@
         index = LogIndex(self.log.membership.quorum_value(self._match_index))
         if index > self.commit_index and self.log.term_at(index) == self.term:
             self.commit_index = index
-        self._promote_learner(now_ms)
+        self._change_voters(now_ms)
         self._advance_reads()
 
     def collect(
@@ -211,17 +218,31 @@
             if replica != self.replica
         }
 
-    def _promote_learner(self, now_ms: float) -> None:
+    def _change_voters(self, now_ms: float) -> None:
         settled = self.log.membership_index <= self.commit_index
         if self.resigning or not self.is_ready() or not settled:
             return
-        for learner in self.log.membership.joining():
-            progress = self.peers.get(learner)
-            if progress is None or progress.match_index < self.commit_index:
-                continue
-            if progress.is_active(now_ms, self.options.election_timeout_ms):
-                self.append(self.log.membership.with_voter(learner))
-                return
+        changed = next_membership(
+            self.log.membership,
+            self.options.voter_target,
+            lambda learner: self._holds_log(learner, now_ms),
+            lambda voter: self._is_lost(voter, now_ms),
+        )
+        if changed is not None:
+            self.append(changed)
+            self._update_peers(now_ms)
+
+    def _holds_log(self, learner: ReplicaId, now_ms: float) -> bool:
+        progress = self.peers.get(learner)
+        if progress is None or progress.match_index < self.commit_index:
+            return False
+        return progress.is_active(now_ms, self.options.election_timeout_ms)
+
+    def _is_lost(self, voter: ReplicaId, now_ms: float) -> bool:
+        progress = self.peers.get(voter)
+        return progress is not None and not progress.is_active(
+            now_ms, self.options.lost_ms
+        )
 
     def _advance_reads(self) -> None:
         if not self._reads or not self.is_ready():
--- a/cicadawheel/control/raft/membership.py
+++ b/cicadawheel/control/raft/membership.py
@@ -103,6 +103,23 @@
         )
         return Membership(members, self.removed)
 
+    def replacing(self, lost: ReplicaId, learner: ReplicaId) -> "Membership":
+        """Return the membership with a learner in the place of a lost replica.
+
+        The lost replica must never speak again: its disk is gone. The learner gets
+        its vote, if it had one. See docs/design/replication.md for why this may be
+        one change.
+        """
+        votes = self.is_voter(lost)
+        members = tuple(
+            msgspec.structs.replace(member, voter=member.voter or votes)
+            if member.replica == learner
+            else member
+            for member in self.members
+            if member.replica != lost
+        )
+        return Membership(members, (*self.removed, lost))
+
     def without(self, replica: ReplicaId) -> "Membership":
         """Return the membership without a replica, whose id is used up.
 
--- a/cicadawheel/control/replica/leader_requests.py
+++ b/cicadawheel/control/replica/leader_requests.py
@@ -1,6 +1,7 @@
 """Requests of this replica's callers, carried out here or passed on to the leader."""
 
 import asyncio
+import logging
 
 import msgspec
 
@@ -11,6 +12,7 @@
     AnswerState,
     Ask,
     ConfirmRead,
+    Join,
     RemoveReplica,
     Request,
 )
@@ -23,8 +25,14 @@
 from cicadawheel.control.replica.runner import ReplicaRunner
 from cicadawheel.errors import CicadawheelError, NoQuorumError, NotLeaderError
 from cicadawheel.ids import LogIndex, ReplicaId
+from cicadawheel.logs import log_event
 from cicadawheel.timer import MS_PER_S, TimerService
 
+log = logging.getLogger(__name__)
+
+# A replica that waits to be added asks again; the change itself takes a few rounds.
+JOIN_TIMEOUT_MS = 5_000.0
+
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -47,6 +55,7 @@
         self._grace_ms = grace_ms
         self._leader_changed_at_ms = timers.clock.now_ms()
         self._asks = PendingAsks()
+        self._joining: set[ReplicaId] = set()
 
     @property
     def leader(self) -> ReplicaId | None:
@@ -88,6 +97,12 @@
         """Carry out what another replica passes on, and answer it."""
         self._runner.group.create_task(self._answer(peer, ask))
 
+    def receive_join(self, join: Join) -> None:
+        """Have a replica added that has asked for it, unless that is under way."""
+        if join.replica not in self._joining:
+            self._joining.add(join.replica)
+            self._runner.group.create_task(self._join(join))
+
     def receive_answer(self, answer: Answer) -> None:
         """Take the leader's answer."""
         self._asks.answer(answer)
@@ -140,6 +155,15 @@
         finally:
             self._asks.close(number)
 
+    async def _join(self, join: Join) -> None:
+        request = AddReplica(join.replica, join.host, join.port)
+        try:
+            await self.request(request, JOIN_TIMEOUT_MS)
+        except CicadawheelError as error:
+            log_event(log, "join_delayed", replica=join.replica, reason=error)
+        finally:
+            self._joining.discard(join.replica)
+
     async def _answer(self, peer: ReplicaId, ask: Ask) -> None:
         try:
             answer = await self._serve(ask.request)
--- a/cicadawheel/control/replica/message.py
+++ b/cicadawheel/control/replica/message.py
@@ -15,13 +15,15 @@
     """First message of both sides of a stream: the folder, and who is known.
 
     ``initial`` are the replicas that the sender's settings name, ``bootstrap``
-    the first membership that they agreed on, ``membership`` the newest one.
+    the first membership that they agreed on, ``membership`` the newest one, which is
+    committed if ``settled``.
     """
 
     folder: FolderId
     initial: tuple[ReplicaId, ...]
     bootstrap: Membership
     membership: Membership
+    settled: bool = False
 
 
 class ConfirmRead(msgspec.Struct, array_like=True, frozen=True, tag="read"):
@@ -43,6 +45,14 @@
     replica: ReplicaId
 
 
+class Join(Message, tag="join"):
+    """A replica asks any member to have it added."""
+
+    replica: ReplicaId
+    host: str
+    port: int
+
+
 Request = CommandData | ConfirmRead | AddReplica | RemoveReplica
 
 
@@ -78,4 +88,4 @@
     data: bytes
 
 
-ReplicaMessage = Introduction | Ask | Answer | Report | RaftMessage
+ReplicaMessage = Introduction | Ask | Answer | Join | Report | RaftMessage
--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -70,6 +70,7 @@
         self.clock = clock
         self.folders: dict[ReplicaId, FolderId] = {}
         self._targets: dict[ReplicaId, Address] = {}
+        self._contacts: dict[Address, asyncio.Task[None]] = {}
         self._dials: dict[ReplicaId, asyncio.Task[None]] = {}
         self._outgoing: dict[ReplicaId, Stream] = {}
         self._incoming: dict[ReplicaId, Stream] = {}
@@ -97,6 +98,7 @@
         finally:
             self._group = None
             self._dials.clear()
+            self._contacts.clear()
             server.close()
             for stream in list(self._streams):
                 stream.close()
@@ -106,6 +108,20 @@
         self._targets = dict(targets)
         self._update_dials()
 
+    def set_contacts(self, addresses: set[Address]) -> None:
+        """Connect also to whoever answers at these addresses."""
+        if self._group is None:
+            return
+        for address in set(self._contacts) - addresses:
+            self._contacts.pop(address).cancel()
+        for address in addresses - set(self._contacts):
+            dial = self._group.create_task(self._dial(address, None))
+            self._contacts[address] = dial
+
+    def reached(self) -> list[ReplicaId]:
+        """Return the replicas that a message can be sent to."""
+        return [peer for peer in self.folders if self._stream_to(peer) is not None]
+
     def add_target(self, replica: ReplicaId, address: Address) -> None:
         """Connect to one more replica."""
         self._targets[replica] = address
@@ -209,19 +225,19 @@
         for replica in set(self._dials) - set(self._targets):
             self._dials.pop(replica).cancel()
         for replica in set(self._targets) - set(self._dials):
-            dial = self._group.create_task(self._dial(replica))
+            dial = self._group.create_task(self._dial(self._targets[replica], replica))
             self._dials[replica] = dial
 
-    async def _dial(self, replica: ReplicaId) -> None:
+    async def _dial(self, address: Address, replica: ReplicaId | None) -> None:
         while True:
             try:
-                await self._hold_stream(replica)
+                await self._hold_stream(address, replica)
             except PeerError as error:
                 log.debug("replica_unreachable", extra={"reason": str(error)})
             await asyncio.sleep(RECONNECT_MS / MS_PER_S)
 
-    async def _hold_stream(self, replica: ReplicaId) -> None:
-        address = self._targets[replica]
+    async def _hold_stream(self, address: Address, replica: ReplicaId | None) -> None:
+        """Keep a stream to an address; ``replica`` is None if anybody may answer."""
         stream = await connect_stream(
             address.host,
             address.port,
@@ -232,11 +248,13 @@
         )
         closed = self._closed[stream] = asyncio.Event()
         try:
-            if stream.peer != replica:
+            if stream.peer == self.identity.name:
+                stream.close()
+            elif replica is not None and stream.peer != replica:
                 stream.abort(ProtocolError("another replica answers", peer=replica))
                 log_event(log, "wrong_replica", peer=stream.peer, address=str(address))
             elif stream.is_open():
-                self._outgoing[replica] = stream
+                self._outgoing[ReplicaId(stream.peer)] = stream
                 await closed.wait()
         finally:
             del self._closed[stream]
--- a/cicadawheel/control/replica/runner.py
+++ b/cicadawheel/control/replica/runner.py
@@ -1,6 +1,7 @@
 """Runs one replica: opens its folder, finds its membership, then takes part."""
 
 import asyncio
+import itertools
 import logging
 import random
 import secrets
@@ -17,15 +18,15 @@
 from cicadawheel.control.replica.bootstrap import Bootstrap, BootstrapState
 from cicadawheel.control.replica.changes import Changes
 from cicadawheel.control.replica.engine import Engine
-from cicadawheel.control.replica.message import Introduction
+from cicadawheel.control.replica.message import Introduction, Join
 from cicadawheel.control.replica.network import Network
 from cicadawheel.control.storage import Files, Storage
 from cicadawheel.control.storage.identity import Identity
-from cicadawheel.errors import CicadawheelError, StorageError
+from cicadawheel.errors import CicadawheelError, ReplicaRemovedError, StorageError
 from cicadawheel.ids import LogIndex, ReplicaId
 from cicadawheel.logs import log_event
 from cicadawheel.settings import Address, ControlSettings, Settings
-from cicadawheel.timer import TimerService
+from cicadawheel.timer import MS_PER_S, TimerService
 from cicadawheel.wire import Message
 from cicadawheel.wire.stream import Identity as StreamIdentity
 
@@ -33,6 +34,8 @@
 
 TICKS_IN_HEARTBEAT = 5
 RANDOM_ID_BYTES = 8
+# How often a replica without a leader looks for others: well below an election.
+FIND_INTERVAL_MS = 200.0
 
 
 class RunnerOwner(Protocol):
@@ -81,7 +84,7 @@
         open_files: Callable[[str], Files],
         owner: RunnerOwner,
     ):
-        self.replica = ReplicaId(settings.process.name)
+        self.replica = settings.replica
         self.control: ControlSettings = settings.control
         self.machine = machine
         self.timers = timers
@@ -102,6 +105,8 @@
         self._failure: StorageError | None = None
         self._leader: ReplicaId | None = None
         self._targets_of: Membership | None = None
+        self._is_removed = False
+        self._join_turn = itertools.count()
 
     async def run(self) -> None:
         """Take part until cancelled.
@@ -128,9 +133,12 @@
         initial = tuple(one.replica for one in self.control.replicas)
         agreed = self.bootstrap.membership
         newest = agreed
+        settled = False
         if self.engine is not None and self.engine.raft.membership.members:
-            newest = self.engine.raft.membership
-        return Introduction(self.bootstrap.folder, initial, agreed, newest)
+            raft = self.engine.raft
+            newest = raft.membership
+            settled = raft.log.membership_index <= raft.commit_index
+        return Introduction(self.bootstrap.folder, initial, agreed, newest, settled)
 
     def replica_introduced(self, peer: ReplicaId, introduction: Introduction) -> None:
         """Take what another replica says of itself."""
@@ -138,6 +146,9 @@
         self.bootstrap.receive(peer, introduction)
         if (self.bootstrap.state, self.bootstrap.reason) != before:
             self._log_bootstrap(peer)
+        removed = self.replica in introduction.membership.removed
+        if self.control.seeds and introduction.settled and removed:
+            self._is_removed = True
         self.changes.notify()
 
     def replica_message(self, peer: ReplicaId, message: Message) -> None:
@@ -187,6 +198,9 @@
                 self.group = group
                 group.create_task(self.network.run(self._set_initial_targets))
                 group.create_task(self._take_part(storage, saved))
+                group.create_task(self._end_if_removed())
+                if self.control.seeds:
+                    group.create_task(self._find_others())
         except* CicadawheelError as errors:
             raise _first_error(errors) from None
         finally:
@@ -208,9 +222,35 @@
         finally:
             ticks.cancel()
 
+    async def _end_if_removed(self) -> None:
+        await self.changes.wait_for(lambda: self._is_removed)
+        raise ReplicaRemovedError(
+            "the others have removed this replica", step="member", peer=self.replica
+        )
+
+    async def _find_others(self) -> None:
+        """Look for the others at the seeds while no leader is heard, and join them."""
+        own = self.control.replica_address
+        seeds = {Address(seed.host, own.port) for seed in self.control.seeds}
+        while True:
+            raft = None if self.engine is None else self.engine.raft
+            alone = raft is None or raft.leader is None
+            self.network.set_contacts(seeds - {own} if alone else set())
+            if raft is not None and raft.membership.find(self.replica) is None:
+                self._ask_to_join(own)
+            await asyncio.sleep(FIND_INTERVAL_MS / MS_PER_S)
+
+    def _ask_to_join(self, own: Address) -> None:
+        reached = self.network.reached()
+        if reached:
+            peer = reached[next(self._join_turn) % len(reached)]
+            self.network.send(peer, Join(self.replica, own.host, own.port))
+
     def _make_engine(self, storage: Storage, saved: SavedState) -> Engine:
         control = self.control
-        options = RaftOptions(control.election_timeout_ms, control.heartbeat_ms)
+        options = RaftOptions(
+            control.election_timeout_ms, control.heartbeat_ms, control.voter_target
+        )
         clock = self.timers.clock
         raft = make_raft(self.replica, saved, options, self.random, clock.now_ms())
         snapshot = saved.snapshot
--- a/cicadawheel/control/replication.py
+++ b/cicadawheel/control/replication.py
@@ -17,6 +17,7 @@
     Answer,
     Ask,
     ConfirmRead,
+    Join,
     RemoveReplica,
     Report,
 )
@@ -33,6 +34,8 @@
 
 COMMIT_TIMEOUT_ELECTIONS = 5
 MEMBERSHIP_TIMEOUT_MS = 60_000.0
+# A first start takes about 2 s; a deployment may have fewer machines than it wants.
+ASSEMBLY_MS = 7_000.0
 
 _encoder = msgspec.msgpack.Encoder()
 _outcome_decoder = msgspec.msgpack.Decoder(Outcome)
@@ -79,6 +82,8 @@
             settings, machine, timers, random, open_files, self
         )
         self._clock = timers.clock
+        self._started_at_ms = timers.clock.now_ms()
+        self._voter_target = settings.control.voter_target
         election_ms = settings.control.election_timeout_ms
         self._requests = LeaderRequests(self._runner, timers, election_ms)
         self._election_timeout_ms = election_ms
@@ -176,6 +181,25 @@
         """
         await self._requests.request(RemoveReplica(replica), MEMBERSHIP_TIMEOUT_MS)
 
+    def hosts(self) -> tuple[str, ...]:
+        """Return the hosts of all replicas in the newest membership."""
+        engine = self._runner.engine
+        if engine is None:
+            return ()
+        return tuple(sorted({one.host for one in engine.raft.membership.members}))
+
+    def is_assembled(self) -> bool:
+        """Return whether as many replicas vote as the settings want.
+
+        After `ASSEMBLY_MS` it is taken for granted that there are no more.
+        """
+        engine = self._runner.engine
+        if engine is None:
+            return False
+        enough = len(engine.raft.membership.voters()) >= self._voter_target
+        waited_ms = self._clock.now_ms() - self._started_at_ms
+        return enough or waited_ms > ASSEMBLY_MS
+
     async def wait_until(self, condition: Callable[[], bool]) -> None:
         """Return once a condition on this replica's state holds."""
         await self._runner.changes.wait_for(condition)
@@ -222,6 +246,8 @@
                 self._requests.receive_ask(peer, message)
             case Answer():
                 self._requests.receive_answer(message)
+            case Join():
+                self._requests.receive_join(message)
             case Report():
                 self.on_report(peer, message.data)
 
--- a/cicadawheel/control/session.py
+++ b/cicadawheel/control/session.py
@@ -31,6 +31,7 @@
     RegisterAgain,
     Registered,
     Renewal,
+    Replicas,
     SuspectReport,
     View,
     ViewDelta,
@@ -68,6 +69,7 @@
         self._sent_quarantined: tuple[Fingerprint, ...] = ()
         self._known_index = LogIndex(0)
         self._registering = False
+        self._sent_hosts: tuple[str, ...] = ()
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -102,8 +104,13 @@
 
     def send_beat(self, current: bool) -> None:
         """Tell the node whether this replica hears from a leader."""
-        if self._stream.is_open():
-            self._stream.send(Beat(current))
+        if not self._stream.is_open():
+            return
+        self._stream.send(Beat(current))
+        hosts = self.server.log.hosts()
+        if hosts != self._sent_hosts:
+            self._sent_hosts = hosts
+            self._stream.send(Replicas(hosts))
 
     def send_view(self) -> None:
         """Send the node what has changed since its last view."""
--- a/cicadawheel/control/state/changes.py
+++ b/cicadawheel/control/state/changes.py
@@ -36,7 +36,7 @@
     """
     match command:
         case ApplyConfiguration():
-            return apply_configuration(now, command, members)
+            return apply_rules(now, command.configuration, members)
         case SetDataCentre():
             return set_data_centre(now, command, members)
         case StartRelease():
@@ -66,29 +66,28 @@
     return deadline_warning(release, after.services[command.service].habits)
 
 
-def apply_configuration(
-    now: Configuration, command: ApplyConfiguration, members: Iterable[Member]
+def apply_rules(
+    now: Configuration, wanted: Configuration, members: Iterable[Member]
 ) -> Configuration:
-    """Return the rules of the command with the moves and releases of now.
+    """Return the wanted rules with the moves and releases of now.
 
     A data centre that is out stays out, also where the rules don't name it any
     more, because its upstreams may still be registered. A version that was taken
     back stays so, and a release goes on.
     """
-    wanted = command.configuration
     services = {
         name: _keep_version(rule, now.services.get(name))
         for name, rule in wanted.services.items()
     }
     data_centres = _keep_states(now.data_centres, wanted.data_centres)
     releases = tuple(held for held in now.releases if held.service in services)
-    merged = Configuration(
+    merged = replace(
+        wanted,
         revision=now.revision,
         services=services,
         data_centres=data_centres,
         releases=releases,
         withdrawn=now.withdrawn,
-        measuring=wanted.measuring,
     )
     return adopt_versions(merged, members)
 
@@ -122,10 +121,12 @@
     Raises
     ------
     CommandRefusedError
-        The data centre is unknown, or no upstream of one of its services would
-        be left and the command isn't forced.
+        The command isn't forced, and the data centre is unknown, or no upstream of
+        one of its services would be left.
     """
     rule = now.data_centres.get(command.data_centre)
+    if rule is None and command.force:
+        rule = DataCentreRule(command.data_centre)
     if rule is None:
         known = ", ".join(sorted(now.data_centres)) or "none"
         raise CommandRefusedError(
--- a/cicadawheel/control/state/encoding.py
+++ b/cicadawheel/control/state/encoding.py
@@ -13,6 +13,7 @@
     join_claims,
     slice_claims,
 )
+from cicadawheel.control.state.documents import DocumentSnapshot
 from cicadawheel.control.state.membership import MembersSnapshot
 from cicadawheel.control.state.operations import OperationsSnapshot
 from cicadawheel.control.state.quarantine import Quarantined
@@ -31,6 +32,7 @@
     operations: OperationsSnapshot
     claims: ClaimsSnapshot
     quarantined: list[Quarantined]
+    documents: DocumentSnapshot = DocumentSnapshot()
 
 
 class StateEncoding:
--- a/cicadawheel/control/state/machine.py
+++ b/cicadawheel/control/state/machine.py
@@ -10,6 +10,7 @@
     AdvanceRelease,
     AnyCommand,
     ClaimState,
+    DocumentOutcome,
     ExpireMembers,
     FinishClaim,
     LeaveMember,
@@ -17,17 +18,20 @@
     OperatorCommand,
     Outcome,
     OutcomeState,
+    PutDocument,
     Quarantine,
     RegisterMember,
     ReleaseClaim,
 )
 from cicadawheel.control.state.changes import (
     adopt_versions,
+    apply_rules,
     change_configuration,
     describe_change,
     warn_of_change,
 )
 from cicadawheel.control.state.claims import ClaimTable
+from cicadawheel.control.state.documents import DocumentStore
 from cicadawheel.control.state.encoding import (
     StateEncoding,
     StateSnapshot,
@@ -62,6 +66,7 @@
         self.view_revision = LogIndex(0)
         self.claims = ClaimTable(claim_window_ms)
         self.quarantine = QuarantineTable()
+        self.documents = DocumentStore()
         self._members = MemberTable()
         self._operations = OperationMemory()
 
@@ -106,6 +111,7 @@
                 operations=self._operations.snapshot(),
                 claims=self.claims.snapshot(),
                 quarantined=self.quarantine.snapshot(),
+                documents=self.documents.snapshot(),
             )
         )
 
@@ -122,6 +128,7 @@
         self._operations.restore(snapshot.operations)
         self.claims.restore(snapshot.claims)
         self.quarantine.restore(snapshot.quarantined)
+        self.documents.restore(snapshot.documents)
 
     def _apply_operation(self, index: LogIndex, command: OperatorCommand) -> Outcome:
         first = self._operations.find(command)
@@ -148,6 +155,23 @@
         warning = warn_of_change(self.configuration, command)
         return self._done(f"{text}; {warning}" if warning else text)
 
+    def _put_document(self, index: LogIndex, command: PutDocument) -> Outcome:
+        verdict = self.documents.judge(command)
+        text = f"document {command.version}: {verdict.value}"
+        revision = self.configuration.revision
+        if verdict is DocumentOutcome.CONFLICT:
+            return Outcome(OutcomeState.CONFLICT, revision, text)
+        if verdict is DocumentOutcome.INVALID:
+            return Outcome(OutcomeState.REFUSED, revision, text)
+        if verdict is DocumentOutcome.ACCEPTED:
+            self.documents.take(command)
+            members = self.members.values()
+            rules = apply_rules(self.configuration, command.configuration, members)
+            self._put_configuration(index, rules)
+            change = Change(self.configuration.revision, OperationId(""), text)
+            self._operations.add_change(change)
+        return self._done(text)
+
     def _advance_release(self, index: LogIndex, command: AdvanceRelease) -> Outcome:
         self._put_configuration(index, advance_release(self.configuration, command))
         text = (
@@ -229,6 +253,7 @@
 
 
 HANDLERS: dict[type, Callable[[ControlState, LogIndex, Any], Outcome]] = {
+    PutDocument: ControlState._put_document,
     AdvanceRelease: ControlState._advance_release,
     RegisterMember: ControlState._register,
     ExpireMembers: ControlState._expire,
--- a/cicadawheel/control/state/operations.py
+++ b/cicadawheel/control/state/operations.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from cicadawheel.control.command import OperatorCommand, Outcome, OutcomeState
+from cicadawheel.control.command import (
+    ANY_REVISION,
+    OperatorCommand,
+    Outcome,
+    OutcomeState,
+)
 from cicadawheel.ids import OperationId, Revision
 
 OPERATION_LIMIT = 10_000
@@ -85,6 +90,8 @@
             The revision of the configuration.
         """
         expected = command.expected_revision
+        if expected == ANY_REVISION:
+            return None
         if expected > revision:
             return Outcome(
                 OutcomeState.CONFLICT,
--- a/cicadawheel/entry/answer.py
+++ b/cicadawheel/entry/answer.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from cicadawheel.announcement import HEADER_NOT_RUN, HEADER_REASON
+from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.messages import Header, RefusalReason
+from cicadawheel.timer import MS_PER_S
 
 JSON_FIELD = Header(b"content-type", b"application/json")
 
@@ -31,6 +33,8 @@
     """What a caller did wrong; the request was not run."""
 
     UNKNOWN_SERVICE = "unknown service"
+    NO_ROUTE = "no route"
+    BODY_TOO_BIG = "body too big"
     NO_KEY = "no idempotency key"
     BAD_DEADLINE = "bad deadline"
     BAD_DEPTH = "bad depth"
@@ -39,6 +43,8 @@
 
 STATUS_OF_FAULT = {
     CallerFault.UNKNOWN_SERVICE: 404,
+    CallerFault.NO_ROUTE: 404,
+    CallerFault.BODY_TOO_BIG: 413,
     CallerFault.NO_KEY: 400,
     CallerFault.BAD_DEADLINE: 400,
     CallerFault.BAD_DEPTH: 400,
@@ -46,9 +52,11 @@
 }
 TEXT_OF_FAULT = {
     CallerFault.UNKNOWN_SERVICE: "no service of this name is configured",
+    CallerFault.NO_ROUTE: "no route of this host has a prefix of this path",
+    CallerFault.BODY_TOO_BIG: "the request's body is over the limit",
     CallerFault.NO_KEY: "this route never repeats: send an Idempotency-Key header",
-    CallerFault.BAD_DEADLINE: "the header Cicadawheel-Deadline-Ms is no number over 0",
-    CallerFault.BAD_DEPTH: "the header Cicadawheel-Depth is no number from 0",
+    CallerFault.BAD_DEADLINE: "the header with the deadline is no number over 0",
+    CallerFault.BAD_DEPTH: "the header with the depth is no number from 0",
     CallerFault.TOO_DEEP: "this call is nested deeper than the limit",
 }
 
@@ -59,18 +67,34 @@
     return _answer(STATUS_OF_FAULT[fault], body)
 
 
-def answer_refusal(reason: RefusalReason, not_run: bool, request_id: str) -> Answer:
-    """Return the answer for a call that no upstream has answered."""
+def answer_refusal(
+    reason: RefusalReason,
+    not_run: bool,
+    request_id: str,
+    dialect: Dialect = OWN_DIALECT,
+    retry_after_ms: float = 0.0,
+) -> Answer:
+    """Return the answer for a call that no upstream has answered.
+
+    ``retry_after_ms`` is when the caller may come back, 0 to say nothing of it.
+    """
     if not_run:
         error = "the request was not run"
-        status = 504 if reason is RefusalReason.DEADLINE else 503
+        # In dialects with a seal, no other status says that nothing was run.
+        late = reason is RefusalReason.DEADLINE and not dialect.seal
+        status = 504 if late else 503
     elif reason is RefusalReason.NO_CLAIM:
         error = "this sending was not run, but an earlier one with its key may have"
         status = 503
     else:
         error = "the request may have run, and its answer is lost"
         status = 504 if reason is RefusalReason.DEADLINE else 502
-    return _answer(status, RefusalBody(error, reason.value, not_run, request_id))
+    body = RefusalBody(error, reason.value, not_run, request_id)
+    answer = _answer(status, body, dialect)
+    if not retry_after_ms:
+        return answer
+    retry_after = Header(b"retry-after", b"%.3f" % (retry_after_ms / MS_PER_S))
+    return Answer(answer.status, (*answer.headers, retry_after), answer.body)
 
 
 def answer_conflict(error: str, reason: str, request_id: str) -> Answer:
@@ -78,10 +102,12 @@
     return _answer(409, RefusalBody(error, reason, False, request_id))
 
 
-def _answer(status: int, body: RefusalBody) -> Answer:
+def _answer(status: int, body: RefusalBody, dialect: Dialect = OWN_DIALECT) -> Answer:
     headers = (
         JSON_FIELD,
         Header(HEADER_NOT_RUN, b"1" if body.not_run else b"0"),
         Header(HEADER_REASON, body.reason.encode()),
     )
+    if dialect.echoes and body.request_id:
+        headers = (*headers, Header(dialect.request_id, body.request_id.encode()))
     return Answer(status, headers, msgspec.json.encode(body) + b"\n")
--- a/cicadawheel/entry/attempts.py
+++ b/cicadawheel/entry/attempts.py
@@ -54,6 +54,7 @@
         self.entry = entry
         self.plan = plan
         self.count = 0
+        self.reached = 0
         self.tried: set[NodeId] = set()
         self.live: list[Attempt] = []
         self._hedge_timer: asyncio.TimerHandle | None = None
@@ -65,6 +66,7 @@
         """
         attempt = Attempt(pick)
         self.count += 1
+        self.reached += 1
         self.tried.add(attempt.node)
         self.live.append(attempt)
 
@@ -82,6 +84,10 @@
         attempt.end()
         self.live.remove(attempt)
 
+    def unreached(self) -> None:
+        """Take note that an attempt has ended before it reached its upstream."""
+        self.reached -= 1
+
     def keep_only(self, winner: Attempt) -> None:
         """Cancel all but the one that has answered."""
         self.cancel_hedge()
--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from cicadawheel.control.command import Outcome
-from cicadawheel.entry.answer import Answer, answer_refusal
+from cicadawheel.entry.answer import Answer
 from cicadawheel.entry.attempts import Attempt, Attempts
 from cicadawheel.entry.body import RequestBody
 from cicadawheel.entry.claim import (
@@ -17,10 +17,10 @@
 )
 from cicadawheel.entry.plan import CallPlan, make_fingerprint
 from cicadawheel.entry.reply import ReplyRelay
-from cicadawheel.entry.retry import ATTEMPT_LIMIT, is_retriable
+from cicadawheel.entry.retry import HANDOVER_LIMIT, is_retriable
 from cicadawheel.errors import CicadawheelError
 from cicadawheel.http.caller import CallerConnection
-from cicadawheel.http.fields import RequestHead, has_body, keep_end_to_end
+from cicadawheel.http.fields import RequestHead, has_body
 from cicadawheel.ids import NodeId, StreamId
 from cicadawheel.logs import log_event
 from cicadawheel.messages import (
@@ -95,7 +95,7 @@
         self.started_at_ms = entry.clock.now_ms()
         self.deadline_at_ms = self.started_at_ms + plan.deadline_ms
         self.node: NodeId | None = None
-        self._headers = keep_end_to_end(request.headers)
+        self._headers = entry.headers_to_upstream(request.headers)
         self._body = RequestBody(
             connection, entry.body_buffer_bytes, whole=not has_body(request.headers)
         )
@@ -106,7 +106,9 @@
         self._only_at = NodeId("")
         self._claim: ClaimRequest | None = None
         self._claiming: asyncio.Task | None = None
-        self._reply = ReplyRelay(connection, plan.request, self._attempts.give_credit)
+        self._reply = ReplyRelay(
+            connection, plan.request, self._attempts.give_credit, entry.dialect
+        )
         delay_s = plan.deadline_ms / MS_PER_S
         self._timer = asyncio.get_running_loop().call_later(delay_s, self._late)
 
@@ -149,7 +151,7 @@
         if self._fingerprint in self.entry.quarantined:
             self._refuse(RefusalReason.QUARANTINED)
             return
-        if self.plan.repeatable:
+        if not self.plan.claimed:
             self._try()
             return
         self.state = CallState.CLAIMING
@@ -204,7 +206,7 @@
     def _hedge(self) -> None:
         if self.state is not CallState.TRYING or len(self._attempts.live) != 1:
             return
-        if self._only_at or self._attempts.count >= ATTEMPT_LIMIT:
+        if self._only_at or not self._may_hand_over():
             return
         tried = self._attempts.tried
         pick = self.entry.pick(self.plan, tried, self._only_at)
@@ -230,8 +232,22 @@
             depth=self.plan.depth,
             repeatable=self.plan.repeatable,
             fingerprint=self._fingerprint,
+            target_ms=self._target_left_ms(),
+            priority=self.plan.priority,
         )
 
+    def _target_left_ms(self) -> float:
+        if not self.plan.target_ms:
+            return 0.0
+        passed_ms = self.entry.clock.now_ms() - self.started_at_ms
+        return (self.plan.target_ms - passed_ms) or -1.0
+
+    def _may_hand_over(self) -> bool:
+        """Return whether the call may be handed to one more gate."""
+        if self._attempts.count >= HANDOVER_LIMIT:
+            return False
+        return self._attempts.reached < self.plan.attempts
+
     def _receive(self, attempt: Attempt, message: ReplyMessage) -> None:
         if isinstance(message, ReplyHead):
             self._take_head(attempt, message)
@@ -267,6 +283,8 @@
 
     def _take_refusal(self, attempt: Attempt, refused: Refused) -> None:
         self._attempts.drop(attempt)
+        if refused.not_run and not refused.reached:
+            self._attempts.unreached()
         self.entry.attempt_refused(self.plan, attempt.pick, refused)
         self._may_have_run = self._may_have_run or not refused.not_run
         self._last_reason = refused.reason
@@ -287,9 +305,12 @@
         if self._only_at and attempt.node == self._only_at:
             return False
         repeatable, replayable = self.plan.repeatable, self._body.replayable
-        if not is_retriable(refused, repeatable, replayable, self._attempts.count):
+        reached, limit = self._attempts.reached, self.plan.attempts
+        if not is_retriable(refused, repeatable, replayable, reached, limit):
+            return False
+        if self._attempts.count >= HANDOVER_LIMIT:
             return False
-        return self.entry.may_retry(self.plan, refused)
+        return self.entry.may_retry(self.plan, refused, self._attempts.reached)
 
     def _store_answer(self, answer: Answer) -> None:
         if self._claim is not None:
@@ -302,7 +323,7 @@
             return False
         # Before the claim is settled, an earlier sending of a request that must
         # never repeat may be running elsewhere.
-        return self.plan.repeatable or self._claim is not None
+        return not self.plan.claimed or self._claim is not None
 
     def _runs_on_alone(self) -> bool:
         """Return whether the call goes on without its caller, for a resend."""
@@ -326,7 +347,8 @@
         )
         self._give_claim_back(not_run)
         end = CallEnd.NOT_RUN if not_run else CallEnd.LOST
-        self._respond(answer_refusal(reason, not_run, self.plan.request), end)
+        answer = self.entry.answer_refusal(self.plan, reason, not_run)
+        self._respond(answer, end)
 
     def _give_claim_back(self, not_run: bool) -> None:
         claim, self._claim = self._claim, None
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -6,12 +6,17 @@
 import msgspec
 
 from cicadawheel.configuration import Configuration, Member
-from cicadawheel.entry.answer import answer_fault, answer_refusal
+from cicadawheel.entry.answer import (
+    Answer,
+    CallerFault,
+    answer_fault,
+    answer_refusal,
+)
 from cicadawheel.entry.call import CallEnd, EntryCall
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.latency import Latencies
 from cicadawheel.entry.peers import CallHandle, PeerLinks, ReplySink
-from cicadawheel.entry.plan import CallPlan, plan_call
+from cicadawheel.entry.plan import CallPlan, plan_by_host, plan_call
 from cicadawheel.entry.probing import PROBE_COST_BYTES, MeasuringMeter
 from cicadawheel.entry.retry import (
     HEDGE_COST,
@@ -20,18 +25,22 @@
     retry_cost,
 )
 from cicadawheel.entry.router import Router, RouterReport
+from cicadawheel.entry.routes import RouteTable
 from cicadawheel.entry.versions import Pick, Versions
 from cicadawheel.gate.gate import Gate
 from cicadawheel.http.caller import CallerConnection
-from cicadawheel.http.fields import RequestHead
+from cicadawheel.http.dialect import OWN_DIALECT, Dialect
+from cicadawheel.http.fields import Headers, RequestHead, keep_end_to_end
 from cicadawheel.ids import (
     Fingerprint,
     NodeId,
+    ServiceName,
     StreamId,
 )
 from cicadawheel.logs import log_event
 from cicadawheel.messages import (
     CallOpen,
+    Header,
     LoadReport,
     Probe,
     RefusalReason,
@@ -82,6 +91,8 @@
         Counts what happens.
     versions : Versions
         Says which version a call goes to.
+    dialect : Dialect
+        The header fields that callers and upstreams use.
     """
 
     def __init__(
@@ -96,6 +107,7 @@
         clock: Clock,
         metrics: NodeMetrics,
         versions: Versions,
+        dialect: Dialect = OWN_DIALECT,
     ):
         self.node = node
         self.settings = settings
@@ -107,6 +119,9 @@
         self.clock = clock
         self.metrics = metrics
         self.versions = versions
+        self.dialect = dialect
+        self.routes = RouteTable(router.random)
+        self.caller_service = ServiceName("")
         self.budget = RetryBudget()
         self.latencies = Latencies()
         self.meter = MeasuringMeter()
@@ -122,23 +137,27 @@
         """Put a configuration in force."""
         self.configuration = configuration
         self.router.configure(configuration)
+        self.routes.configure(configuration)
 
     def set_members(self, members: list[Member]) -> None:
         """Replace the list of upstreams."""
         self.router.set_members(members, self.clock.now_ms())
         self.links.keep_only({member.node for member in members})
 
-    def drain(self) -> None:
-        """Take no new connections, and end those that are idle."""
+    def drain(self, close_idle: bool = True) -> None:
+        """End each connection after its next answer, and those that are idle now."""
         self.draining = True
         for connection in list(self._connections):
-            connection.close_when_idle()
+            connection.closing = True
+            if close_idle:
+                connection.close_when_idle()
 
     def connection_opened(self, connection: CallerConnection) -> bool:
         """Return whether one more connection is accepted."""
         if len(self._connections) >= self.settings.connection_limit:
             return False
         self._connections.add(connection)
+        connection.closing = self.draining
         return True
 
     def connection_closed(self, connection: CallerConnection) -> None:
@@ -157,10 +176,10 @@
         """Begin a call, or answer at once what is wrong with it."""
         if not self.configuration.revision:
             # What must never repeat isn't known before the first view.
-            answer = answer_refusal(RefusalReason.NO_VIEW, True, "")
+            answer = answer_refusal(RefusalReason.NO_VIEW, True, "", self.dialect)
             connection.respond(answer.status, answer.headers, answer.body)
             return None
-        plan = plan_call(request, self.configuration, self.settings)
+        plan = self._plan(request)
         if not isinstance(plan, CallPlan):
             answer = answer_fault(plan, "")
             log_event(log, "call_faulty", peer=connection.peer, reason=plan.value)
@@ -172,6 +191,25 @@
         call.begin()
         return call
 
+    def _plan(self, request: RequestHead) -> CallPlan | CallerFault:
+        if self.configuration.routes:
+            return plan_by_host(request, self.routes, self.dialect)
+        return plan_call(request, self.configuration, self.settings, self.dialect)
+
+    def headers_to_upstream(self, headers: Headers) -> tuple[Header, ...]:
+        """Return a request's fields for its upstream, with where it comes from."""
+        kept = keep_end_to_end(headers, self.dialect.call_fields)
+        name = self.dialect.caller_service
+        if not name:
+            return kept
+        return (*kept, Header(name, self.caller_service.encode()))
+
+    def answer_refusal(
+        self, plan: CallPlan, reason: RefusalReason, not_run: bool
+    ) -> Answer:
+        """Return the answer for a call that no upstream has answered."""
+        return answer_refusal(reason, not_run, plan.request, self.dialect)
+
     def pick(self, plan: CallPlan, tried: set[NodeId], only_at: NodeId) -> Pick | None:
         """Return the upstream for the next attempt, or None.
 
@@ -242,8 +280,11 @@
         self.versions.record(plan.service, pick.choice, plan.route, failed, latency_ms)
         return latency_ms
 
-    def may_retry(self, plan: CallPlan, refused: Refused) -> bool:
-        """Return whether the service's retry budget allows one more attempt."""
+    def may_retry(self, plan: CallPlan, refused: Refused, reached: int) -> bool:
+        """Return whether the service's retry budget allows one more attempt.
+
+        ``reached`` is how many upstreams the call has reached so far.
+        """
         cost = retry_cost(refused)
         return self._spend(plan, cost) if cost else True
 
--- a/cicadawheel/entry/plan.py
+++ b/cicadawheel/entry/plan.py
@@ -7,13 +7,6 @@
 
 import msgspec
 
-from cicadawheel.announcement import (
-    HEADER_DEADLINE_MS,
-    HEADER_DEPTH,
-    HEADER_IDEMPOTENCY_KEY,
-    HEADER_REQUEST_ID,
-    HEADER_SERVICE,
-)
 from cicadawheel.configuration import (
     Configuration,
     RepeatRule,
@@ -22,6 +15,9 @@
     find_route,
 )
 from cicadawheel.entry.answer import CallerFault
+from cicadawheel.entry.retry import ATTEMPT_LIMIT
+from cicadawheel.entry.routes import RouteTable
+from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.http.fields import Headers, RequestHead, find_field
 from cicadawheel.ids import Fingerprint, IdempotencyKey, RequestId, ServiceName
 from cicadawheel.settings import EntrySettings
@@ -35,7 +31,12 @@
 
 
 class CallPlan(msgspec.Struct, frozen=True):
-    """How a call is to be served."""
+    """How a call is to be served.
+
+    ``claimed`` says that it needs a claim with control, which holds for all sendings
+    of its ``key``. An answer is worth most within ``target_ms``, 0 if that isn't
+    known. ``attempts`` is the most upstreams that it may reach.
+    """
 
     request: RequestId
     service: ServiceName
@@ -47,33 +48,71 @@
     depth: int
     key: IdempotencyKey
     hedge_after_quantile: float
+    claimed: bool = False
+    target_ms: float = 0.0
+    priority: int = 0
+    attempts: int = ATTEMPT_LIMIT
+
+
+def plan_by_host(
+    request: RequestHead, routes: RouteTable, dialect: Dialect
+) -> CallPlan | CallerFault:
+    """Return the plan for a request that chooses its route by host and path."""
+    headers = request.headers
+    host = (find_field(headers, b"host") or b"").decode("latin-1")
+    target = request.target.decode("latin-1")
+    route = routes.find(host, target)
+    if route is None:
+        return CallerFault.NO_ROUTE
+    asked_ms = _whole_number(headers, dialect.deadline_ms, int(route.deadline_ms))
+    if not asked_ms:
+        return CallerFault.BAD_DEADLINE
+    return CallPlan(
+        request=_request_id(headers, dialect),
+        service=routes.choose_service(route),
+        route=route.name,
+        method=request.method.decode(),
+        target=target,
+        repeatable=route.repeat is RepeatRule.REPEATABLE,
+        deadline_ms=min(route.deadline_ms, float(asked_ms)),
+        depth=1,
+        key=IdempotencyKey(""),
+        hedge_after_quantile=0.0,
+        target_ms=route.target_ms,
+        priority=route.priority,
+        attempts=route.attempts,
+    )
 
 
 def plan_call(
-    request: RequestHead, configuration: Configuration, settings: EntrySettings
+    request: RequestHead,
+    configuration: Configuration,
+    settings: EntrySettings,
+    dialect: Dialect = OWN_DIALECT,
 ) -> CallPlan | CallerFault:
-    """Return the plan for a request, or what is wrong with it."""
+    """Return the plan for a request that names its service, or what is wrong."""
     headers = request.headers
-    service = configuration.services.get(_service_name(headers))
+    service = configuration.services.get(_service_name(headers, dialect))
     if service is None:
         return CallerFault.UNKNOWN_SERVICE
     method = request.method.decode()
     target = request.target.decode("latin-1")
     route = _strictest_route(service, method, target)
-    depth = _whole_number(headers, HEADER_DEPTH, 0)
+    depth = _whole_number(headers, dialect.depth, 0)
     if depth is None:
         return CallerFault.BAD_DEPTH
     if depth + 1 > settings.depth_limit:
         return CallerFault.TOO_DEEP
-    deadline_ms = _deadline_ms(headers, service, route, settings)
+    deadline_ms = _deadline_ms(headers, service, route, settings, dialect)
     if deadline_ms is None:
         return CallerFault.BAD_DEADLINE
     repeatable = _is_repeatable(route, method)
-    key = find_field(headers, HEADER_IDEMPOTENCY_KEY) or b""
-    if not repeatable and not 0 < len(key) <= KEY_LIMIT_BYTES:
+    claimed = not repeatable and not _is_once(route)
+    key = find_field(headers, dialect.key) or b""
+    if claimed and not 0 < len(key) <= KEY_LIMIT_BYTES:
         return CallerFault.NO_KEY
     return CallPlan(
-        request=_request_id(headers),
+        request=_request_id(headers, dialect),
         service=service.name,
         route=OTHER_ROUTE if route is None else route.name,
         method=method,
@@ -83,6 +122,7 @@
         depth=depth + 1,
         key=IdempotencyKey(key.decode("latin-1")),
         hedge_after_quantile=service.hedge_after_quantile,
+        claimed=claimed,
     )
 
 
@@ -120,16 +160,16 @@
     return Fingerprint(digest.hexdigest())
 
 
-def _service_name(headers: Headers) -> ServiceName:
-    named = find_field(headers, HEADER_SERVICE)
+def _service_name(headers: Headers, dialect: Dialect) -> ServiceName:
+    named = find_field(headers, dialect.service)
     if named is None:
         host = find_field(headers, b"host") or b""
         named = host.partition(b":")[0].partition(b".")[0]
     return ServiceName(named.decode("latin-1"))
 
 
-def _request_id(headers: Headers) -> RequestId:
-    given = find_field(headers, HEADER_REQUEST_ID)
+def _request_id(headers: Headers, dialect: Dialect) -> RequestId:
+    given = find_field(headers, dialect.request_id)
     if given is None or len(given) > KEY_LIMIT_BYTES:
         return RequestId(uuid.uuid4().hex)
     return RequestId(given.decode("latin-1"))
@@ -141,6 +181,10 @@
     return route.repeat is RepeatRule.REPEATABLE
 
 
+def _is_once(route: RouteRule | None) -> bool:
+    return route is not None and route.repeat is RepeatRule.ONCE
+
+
 def _whole_number(headers: Headers, name: bytes, default: int) -> int | None:
     value = find_field(headers, name)
     if value is None:
@@ -155,10 +199,11 @@
     service: ServiceRule,
     route: RouteRule | None,
     settings: EntrySettings,
+    dialect: Dialect,
 ) -> float | None:
     rule_ms = route.deadline_ms if route is not None else service.deadline_ms
     limit_ms = rule_ms or settings.default_deadline_ms
-    asked_ms = _whole_number(headers, HEADER_DEADLINE_MS, int(limit_ms))
+    asked_ms = _whole_number(headers, dialect.deadline_ms, int(limit_ms))
     if not asked_ms:
         return None
     return min(limit_ms, float(asked_ms))
--- a/cicadawheel/entry/reply.py
+++ b/cicadawheel/entry/reply.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-from cicadawheel.announcement import HEADER_REQUEST_ID
 from cicadawheel.control.state.claims import ANSWER_LIMIT_BYTES
 from cicadawheel.entry.answer import Answer
 from cicadawheel.http.caller import CallerConnection
+from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.ids import RequestId
 from cicadawheel.messages import Header, ReplyHead
 
@@ -21,6 +21,8 @@
         The name of the call, told to the caller.
     give_credit : Callable
         Lets the gate send this many bytes more.
+    dialect : Dialect
+        How the caller is told the name of the call.
     """
 
     def __init__(
@@ -28,9 +30,11 @@
         connection: CallerConnection,
         request: RequestId,
         give_credit: Callable[[int], None],
+        dialect: Dialect = OWN_DIALECT,
     ):
         self.connection = connection
         self.request = request
+        self.dialect = dialect
         self._give_credit = give_credit
         self._head: ReplyHead | None = None
         self._kept = bytearray()
@@ -70,4 +74,7 @@
         return Answer(self._head.status, self._head.headers, bytes(self._kept))
 
     def _headers(self, head: ReplyHead) -> tuple[Header, ...]:
-        return (*head.headers, Header(HEADER_REQUEST_ID, self.request.encode()))
+        name = self.dialect.request_id
+        if any(header.name == name for header in head.headers):
+            return head.headers
+        return (*head.headers, Header(name, self.request.encode()))
--- a/cicadawheel/entry/retry.py
+++ b/cicadawheel/entry/retry.py
@@ -6,6 +6,8 @@
 from cicadawheel.messages import RefusalReason, Refused
 
 ATTEMPT_LIMIT = 4
+# Gates that one request may be handed to, however few upstreams it has reached.
+HANDOVER_LIMIT = 8
 BUDGET_FLOOR_PER_S = 2.0
 BUDGET_LIMIT = 50.0
 MAY_HAVE_RUN_COST = 1.0
@@ -85,12 +87,16 @@
 
 
 def is_retriable(
-    refused: Refused, repeatable: bool, replayable: bool, attempts: int
+    refused: Refused,
+    repeatable: bool,
+    replayable: bool,
+    attempts: int,
+    limit: int = ATTEMPT_LIMIT,
 ) -> bool:
-    """Return whether a refused request may be sent again at all."""
+    """Return whether a request may be sent again at all, after some attempts."""
     if not (refused.not_run or repeatable):
         return False
-    if not replayable or attempts >= ATTEMPT_LIMIT:
+    if not replayable or attempts >= limit:
         return False
     return refused.reason not in NEVER_RETRIED
 
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -89,7 +89,7 @@
         self.node = node
         self.configuration = Configuration()
         self.ejections = Ejections()
-        self._random = random
+        self.random = random
         self._policy = make_policy(settings, random)
         self._candidates: dict[NodeId, Candidate] = {}
         self._by_service: dict[ServiceName, list[Candidate]] = {}
@@ -221,8 +221,8 @@
         services = self._services_of_late(now_ms)
         if not services:
             return None
-        candidates = self._by_service.get(self._random.choice(services), ())
-        drawn = self._random.sample(candidates, min(PROBE_CHOICES, len(candidates)))
+        candidates = self._by_service.get(self.random.choice(services), ())
+        drawn = self.random.sample(candidates, min(PROBE_CHOICES, len(candidates)))
         wanted = [item for item in drawn if self._wants_probe(item, now_ms)]
         if not wanted:
             return None
--- a/cicadawheel/errors.py
+++ b/cicadawheel/errors.py
@@ -68,6 +68,10 @@
     is_final = True
 
 
+class ReplicaRemovedError(StorageError):
+    """The replica is no member any more; its folder is of no use."""
+
+
 class CorruptionError(StorageError):
     """A file of the data folder holds bytes that were not written so."""
 
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -4,17 +4,12 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from cicadawheel.announcement import (
-    HEADER_DEADLINE_MS,
-    HEADER_DEPTH,
-    HEADER_NOT_RUN,
-    HEADER_REQUEST_ID,
-)
 from cicadawheel.gate.decision import Result
 from cicadawheel.http.fields import (
     ResponseHead,
     content_length,
     find_field,
+    has_field,
     keep_end_to_end,
 )
 from cicadawheel.http.upstream import ExchangeEnd, UpstreamConnection
@@ -35,7 +30,8 @@
     from cicadawheel.gate.gate import Gate, ReplySink
 
 WHOLE_REPLY_LIMIT_BYTES = 65_536
-SHED_STATUS = 503
+FIRST_FAILURE_STATUS = 400
+MISDIRECTED_STATUS = 421
 
 
 class CallState(Enum):
@@ -161,15 +157,28 @@
         self._return_credit(sum(map(len, self._request_parts)))
         self._request_parts.clear()
 
+    def expects(self, response: ResponseHead) -> bool:
+        """Return whether an answer is that to this request, not one of an earlier."""
+        dialect = self.gate.dialect
+        if not dialect.echoes:
+            return True
+        named = find_field(response.headers, dialect.request_id)
+        return named is None or named == self.call.request.encode()
+
     def head_received(self, response: ResponseHead) -> None:
         """Take the head of the answer; a short answer is sent on whole."""
         self._response = response
         if self._sent_at_ms is not None:
             self._service_time_ms = self.gate.clock.now_ms() - self._sent_at_ms
         self.gate.admission.replying(self.ticket)
-        if self._is_shed(response):
+        if self._is_shed(response) or self._is_misdirected(response):
             return
         length = content_length(response.headers)
+        chunked = has_field(response.headers, b"transfer-encoding")
+        unframed = length is None and not chunked
+        if unframed and self.gate.dialect.seal:
+            # Its end may be a loss: it is sent on once it is known to be whole.
+            return
         if length is None or length > WHOLE_REPLY_LIMIT_BYTES:
             self._send_head(b"", more=True)
 
@@ -187,7 +196,14 @@
         """Tell the entry that the answer is whole."""
         self._connection = None
         if self._is_shed(self._response):
-            self._refuse(RefusalReason.OVERLOAD, not_run=True, result=Result.SHED)
+            self._refuse_reached(RefusalReason.OVERLOAD, Result.SHED)
+            return
+        if self._is_misdirected(self._response):
+            self.gate.upstream_is_another()
+            self._refuse_reached(RefusalReason.NO_UPSTREAM, Result.FAILED)
+            return
+        if not self._head_sent and not self._is_sound(self._response):
+            self.end_exchange(ExchangeEnd.MALFORMED)
             return
         self.answered_whole = True
         failed = self._response.status_code >= 500
@@ -219,9 +235,26 @@
         self._return_credit(0)
 
     def _is_shed(self, response: ResponseHead) -> bool:
-        if response.status_code != SHED_STATUS:
+        if response.status_code < FIRST_FAILURE_STATUS:
+            return False
+        return find_field(response.headers, self.gate.dialect.not_run) == b"1"
+
+    def _is_misdirected(self, response: ResponseHead) -> bool:
+        """Return whether another upstream has the address now."""
+        misdirected = response.status_code == MISDIRECTED_STATUS
+        return misdirected and bool(self.gate.dialect.expected_upstream)
+
+    def _is_sound(self, response: ResponseHead) -> bool:
+        """Return whether the upstream has made this answer, and nothing else."""
+        dialect = self.gate.dialect
+        if not dialect.seal:
+            return True
+        if has_field(response.headers, b"content-encoding"):
             return False
-        return find_field(response.headers, HEADER_NOT_RUN) == b"1"
+        if response.status_code >= FIRST_FAILURE_STATUS:
+            return True
+        own = has_field(response.headers, dialect.request_id)
+        return own and has_field(response.headers, dialect.seal)
 
     def _send_head(self, body: bytes, more: bool) -> None:
         self._head_sent = True
@@ -239,11 +272,17 @@
         )
 
     def _fields(self) -> list[tuple[bytes, bytes]]:
+        dialect = self.gate.dialect
         fields = [(header.name, header.value) for header in self.call.headers]
         left_ms = self.deadline_at_ms - self.gate.clock.now_ms()
-        fields.append((HEADER_DEADLINE_MS, b"%d" % max(1, int(left_ms))))
-        fields.append((HEADER_DEPTH, b"%d" % self.call.depth))
-        fields.append((HEADER_REQUEST_ID, self.call.request.encode()))
+        fields.append((dialect.deadline_ms, b"%d" % max(1, int(left_ms))))
+        if dialect.depth:
+            fields.append((dialect.depth, b"%d" % self.call.depth))
+        if not dialect.echoes or not has_field(fields, dialect.request_id):
+            fields.append((dialect.request_id, self.call.request.encode()))
+        if dialect.expected_upstream:
+            upstream = self.gate.announcement.upstream
+            fields.append((dialect.expected_upstream, upstream.encode()))
         if self.call.more and content_length(fields) is None:
             fields.append((b"transfer-encoding", b"chunked"))
         return fields
@@ -283,11 +322,21 @@
         not_run = self.state in (CallState.WAITING, CallState.CONNECTING)
         self._refuse(RefusalReason.DEADLINE, not_run, Result.CANCELLED)
 
-    def _refuse(self, reason: RefusalReason, not_run: bool, result: Result) -> None:
+    def _refuse_reached(self, reason: RefusalReason, result: Result) -> None:
+        """Refuse a call that the upstream got and says it didn't run."""
+        self._refuse(reason, True, result, reached=True)
+
+    def _refuse(
+        self,
+        reason: RefusalReason,
+        not_run: bool,
+        result: Result,
+        reached: bool = False,
+    ) -> None:
         self._end(result)
         load = self.gate.load()
         only_at = self.gate.guard.suspects.tester(self.call.fingerprint)
-        self.sink(Refused(self.call.stream, reason, not_run, load, only_at))
+        self.sink(Refused(self.call.stream, reason, not_run, load, only_at, reached))
 
     def _end(self, result: Result) -> None:
         self.state = CallState.ENDED
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -15,6 +15,7 @@
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.reports import ReportReader, ReportWatch
 from cicadawheel.gate.suspects import SuspectReport
+from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.http.upstream import UpstreamPool
 from cicadawheel.ids import (
     BootId,
@@ -61,6 +62,8 @@
         Where the time comes from.
     node : NodeId
         The node that the gate belongs to.
+    dialect : Dialect
+        The header fields that the upstream uses.
     """
 
     def __init__(
@@ -69,7 +72,9 @@
         data_centre: DataCentreName,
         timers: TimerService,
         node: NodeId,
+        dialect: Dialect = OWN_DIALECT,
     ):
+        self.dialect = dialect
         self.settings = settings
         self.data_centre = data_centre
         self.clock: Clock = timers.clock
@@ -124,7 +129,7 @@
     def leave(self, upstream: UpstreamId, boot: BootId) -> bool:
         """Send the upstream no new work; return whether it is the one here."""
         known = self.announcement
-        if known is None or (known.upstream, known.boot) != (upstream, boot):
+        if known is None or known.upstream != upstream or boot not in ("", known.boot):
             return False
         log_event(log, "upstream_leaving", upstream=upstream, boot=boot)
         self._carry_out(self.admission.close(RefusalReason.LEAVING))
@@ -234,6 +239,11 @@
             return RefusalReason.WRONG_SERVICE
         return None
 
+    def upstream_is_another(self) -> None:
+        """Admit nothing: another upstream has the address of the one announced."""
+        log_event(log, "upstream_replaced", upstream=self.announcement.upstream)
+        self._carry_out(self.admission.close(RefusalReason.NO_UPSTREAM))
+
     def _upstream_died(self) -> None:
         self.admission.restart_warm_up("upstream died", self.clock.now_ms())
 
--- a/cicadawheel/http/fields.py
+++ b/cicadawheel/http/fields.py
@@ -5,7 +5,6 @@
 import h11
 import msgspec
 
-from cicadawheel.announcement import HEADER_DEADLINE_MS, HEADER_DEPTH, HEADER_SERVICE
 from cicadawheel.messages import Header
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -28,8 +27,6 @@
 END_OF_MESSAGE = h11.EndOfMessage()
 """The end of a body that no trailing fields follow."""
 
-CALL_FIELDS = frozenset((HEADER_DEADLINE_MS, HEADER_DEPTH, HEADER_SERVICE))
-
 
 class RequestHead(msgspec.Struct, frozen=True):
     """The head of a request."""
@@ -68,17 +65,20 @@
     return None
 
 
-def keep_end_to_end(headers: Headers) -> tuple[Header, ...]:
-    """Return the fields that go on to the other side."""
+def keep_end_to_end(
+    headers: Headers, replaced: frozenset[bytes] = frozenset()
+) -> tuple[Header, ...]:
+    """Return the fields that go on to the other side, without those replaced."""
     named = find_field(headers, b"connection")
-    dropped = HOP_FIELDS
+    dropped = HOP_FIELDS | replaced
     if named is not None:
-        dropped = HOP_FIELDS | {item.strip().lower() for item in named.split(b",")}
-    return tuple(
-        Header(name, value)
-        for name, value in headers
-        if name not in dropped and name not in CALL_FIELDS
-    )
+        dropped = dropped | {item.strip().lower() for item in named.split(b",")}
+    return tuple(Header(name, value) for name, value in headers if name not in dropped)
+
+
+def has_field(headers: Headers, name: bytes) -> bool:
+    """Return whether a field is there, by its name in small letters."""
+    return find_field(headers, name) is not None
 
 
 def content_length(headers: Headers) -> int | None:
--- a/cicadawheel/http/upstream.py
+++ b/cicadawheel/http/upstream.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import math
+import re
 import socket
 from collections.abc import Callable
 from enum import Enum
@@ -9,12 +11,22 @@
 
 import h11
 
-from cicadawheel.http.fields import END_OF_MESSAGE, ResponseHead, read_response
+from cicadawheel.http.fields import (
+    END_OF_MESSAGE,
+    ResponseHead,
+    find_field,
+    read_response,
+)
 from cicadawheel.settings import Address
 from cicadawheel.timer import MS_PER_S
 
 log = logging.getLogger(__name__)
 
+KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
+# An idle connection is given up so long before its upstream closes it, which it does
+# by a clock of whole seconds.
+IDLE_MARGIN_S = 1.5
+
 
 class ExchangeEnd(Enum):
     """How an exchange with the upstream ended before its answer was whole."""
@@ -31,6 +43,9 @@
     def connected(self, connection: "UpstreamConnection") -> None:
         """A connection is ready; nothing was written to it yet."""
 
+    def expects(self, response: ResponseHead) -> bool:
+        """Return whether an answer is that to this exchange's request."""
+
     def head_received(self, response: ResponseHead) -> None:
         """The head of the answer has arrived."""
 
@@ -66,12 +81,27 @@
         self._transport: asyncio.Transport | None = None
         self._got_head = False
         self._reading = True
+        self._skipping = False
+        self._is_tainted = False
+        self._sent: list[h11.Event] = []
+        self.idle_since_s = 0.0
+        self.idle_limit_s = math.inf
 
     @property
     def is_open(self) -> bool:
         """Whether the connection can be used."""
         return self._transport is not None and not self._transport.is_closing()
 
+    def is_fresh(self) -> bool:
+        """Return whether the upstream is thought to keep the idle connection open."""
+        if not self.is_open:
+            return False
+        idle_s = asyncio.get_running_loop().time() - self.idle_since_s
+        if idle_s >= self.idle_limit_s:
+            self.close()
+            return False
+        return True
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keep the transport."""
         self._transport = transport
@@ -89,23 +119,28 @@
         """Write the head and the beginning of the body in one write."""
         self.wrote_request = True
         self._got_head = False
+        self._sent.clear()
         request = h11.Request(method=method, target=target, headers=fields)
-        data = self._http.send(request)
+        data = self._send(request)
         if body:
-            data += self._http.send(h11.Data(data=body))
+            data += self._send(h11.Data(data=body))
         if not more:
-            data += self._http.send(END_OF_MESSAGE)
+            data += self._send(END_OF_MESSAGE)
         self._transport.write(data)
 
     def send_body(self, data: bytes) -> None:
         """Write a piece of the body."""
         if self.is_open and self._http.our_state is h11.SEND_BODY:
-            self._transport.write(self._http.send(h11.Data(data=data)))
+            self._transport.write(self._send(h11.Data(data=data)))
 
     def end_body(self) -> None:
         """Mark the request as whole."""
         if self.is_open and self._http.our_state is h11.SEND_BODY:
-            self._transport.write(self._http.send(END_OF_MESSAGE))
+            self._transport.write(self._send(END_OF_MESSAGE))
+
+    def _send(self, event: h11.Event) -> bytes:
+        self._sent.append(event)
+        return self._http.send(event)
 
     def pause(self) -> None:
         """Stop reading the answer."""
@@ -174,20 +209,59 @@
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return False
         if isinstance(event, h11.Response):
-            self._got_head = True
-            self.owner.head_received(read_response(event))
+            self._take_head(read_response(event))
         elif isinstance(event, h11.Data):
-            self.owner.body_received(bytes(event.data))
+            if not self._skipping:
+                self.owner.body_received(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            self._end_exchange()
+            if self._skipping:
+                self._await_own_answer()
+            else:
+                self._end_exchange()
         elif isinstance(event, h11.ConnectionClosed):
             return False
         return True
 
+    def _take_head(self, response: ResponseHead) -> None:
+        self._skipping = not self.owner.expects(response)
+        if self._skipping:
+            self._is_tainted = True
+            return
+        self._got_head = True
+        self._note_idle_limit(response)
+        self.owner.head_received(response)
+
+    def _note_idle_limit(self, response: ResponseHead) -> None:
+        found = KEEP_ALIVE.search(find_field(response.headers, b"keep-alive") or b"")
+        if found is not None:
+            self.idle_limit_s = max(0.0, int(found.group(1)) - IDLE_MARGIN_S)
+
+    def _await_own_answer(self) -> None:
+        """Read on after an answer that belongs to an earlier request.
+
+        The parser knows one answer for each request, so it is told of this one anew.
+        """
+        whole = self._sent and self._sent[-1] is END_OF_MESSAGE
+        if not whole or self._http.their_state is not h11.DONE:
+            self._fail(ExchangeEnd.MALFORMED)
+            return
+        rest, closed = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT)
+        for event in self._sent:
+            self._http.send(event)
+        if rest:
+            self._http.receive_data(rest)
+        if closed:
+            self._http.receive_data(b"")
+
     def _end_exchange(self) -> None:
         owner, self.owner = self.owner, None
         self.resume()
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+        self._sent.clear()
+        self.idle_since_s = asyncio.get_running_loop().time()
+        if self._is_tainted:
+            self._transport.abort()
+        elif self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
         elif self._transport is not None:
             self._transport.abort()
@@ -251,7 +325,7 @@
         """
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_open:
+            if connection.is_fresh():
                 connection.owner = owner
                 connection.wrote_request = False
                 owner.connected(connection)
--- a/cicadawheel/ids.py
+++ b/cicadawheel/ids.py
@@ -6,6 +6,9 @@
 ServiceName = NewType("ServiceName", str)
 VersionName = NewType("VersionName", str)
 
+RouteName = NewType("RouteName", str)
+"""Host and path prefix of a route, without a slash between them."""
+
 NodeId = NewType("NodeId", str)
 """Stable name of a node, from its settings."""
 
--- a/cicadawheel/messages.py
+++ b/cicadawheel/messages.py
@@ -50,9 +50,11 @@
 class CallOpen(Message, tag="open"):
     """An entry hands a call to the gate of the upstream that it picked.
 
-    ``deadline_ms`` is the time that is left, ``depth`` the number of calls
-    above this one. ``body`` is the whole body, or its beginning when ``more``
-    says that `Body` messages and an `End` follow.
+    ``deadline_ms`` is the time that is left, and ``target_ms`` that in which an
+    answer is worth most, below 0 if it has passed and 0 if it isn't known. Calls of
+    ``priority`` 0 go first. ``depth`` is the number of calls above this one. ``body``
+    is the whole body, or its beginning when ``more`` says that `Body` messages and an
+    `End` follow.
     """
 
     stream: StreamId
@@ -68,6 +70,8 @@
     depth: int
     repeatable: bool
     fingerprint: str
+    target_ms: float = 0.0
+    priority: int = 0
 
 
 class Body(Message, tag="body"):
@@ -140,7 +144,8 @@
 class Refused(Message, tag="refused"):
     """The call ends without a whole answer.
 
-    ``not_run`` is true only if no byte of the request reached an upstream.
+    ``not_run`` is true only if no byte of the request reached an upstream, or the
+    upstream has said that it didn't run it; ``reached`` says that it is the latter.
     ``only_at`` names the one node that may run the request for now, if it is
     suspected of crashing upstreams.
     """
@@ -150,6 +155,7 @@
     not_run: bool
     load: LoadReport
     only_at: NodeId = ""
+    reached: bool = False
 
 
 class Probe(Message, tag="probe"):
--- a/cicadawheel/node/admin.py
+++ b/cicadawheel/node/admin.py
@@ -14,6 +14,7 @@
     Leave,
 )
 from cicadawheel.http.exchange import (
+    Handler,
     HttpAnswer,
     HttpRequest,
     json_answer,
@@ -65,3 +66,8 @@
         if not self.node.upstream_leaves(leave):
             return text_answer("this upstream is not the one announced here\n", 409)
         return text_answer("leaving\n")
+
+
+def make_admin_handler(node: "Node") -> Handler:
+    """Return what answers at a node's admin address."""
+    return NodeAdmin(node).handle
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 import secrets
+import signal
+from collections.abc import Callable
 from functools import partial
 from random import Random
 
@@ -17,16 +19,25 @@
 from cicadawheel.entry.peers import PeerLinks
 from cicadawheel.entry.probing import REPORT_COST_BYTES
 from cicadawheel.entry.router import Router
+from cicadawheel.errors import SettingsError
 from cicadawheel.gate.gate import Gate, GateReport
 from cicadawheel.gate.server import serve_peers
 from cicadawheel.http import caller
 from cicadawheel.http.caller import CallerConnection
-from cicadawheel.http.exchange import serve_http
+from cicadawheel.http.dialect import OWN_DIALECT, Dialect
+from cicadawheel.http.exchange import (
+    Handler,
+    HttpAnswer,
+    HttpRequest,
+    serve_http,
+    text_answer,
+)
 from cicadawheel.ids import BootId, Epoch, LogIndex, NodeId, VersionName
 from cicadawheel.logs import log_event
 from cicadawheel.messages import LoadReport
 from cicadawheel.metrics import NodeMetrics
-from cicadawheel.node.admin import ANNOUNCE_REPEAT_MS, NodeAdmin
+from cicadawheel.node.admin import ANNOUNCE_REPEAT_MS, make_admin_handler
+from cicadawheel.node.beats import LastBeat
 from cicadawheel.node.claims import NodeClaims
 from cicadawheel.node.link import ControlLink
 from cicadawheel.node.peer_views import PeerViews
@@ -34,7 +45,7 @@
 from cicadawheel.node.view import NodeView
 from cicadawheel.process import run_daemon
 from cicadawheel.release.node import NodeReleases
-from cicadawheel.settings import Settings
+from cicadawheel.settings import Address, Settings
 from cicadawheel.supervisor import ChildReport, Supervisor, run_until_stopped
 from cicadawheel.timer import MS_PER_S, TimerService
 from cicadawheel.wire.stream import Identity
@@ -47,6 +58,9 @@
 MEASURE_INTERVAL_MS = 50.0
 
 
+MakeHandler = Callable[["Node"], Handler]
+
+
 class NodeDump(msgspec.Struct, frozen=True):
     """The state of a node, for operators."""
 
@@ -77,10 +91,25 @@
         The settings of the process.
     timers : TimerService
         Where the time comes from.
+    dialect : Dialect
+        The header fields that callers and upstreams use.
+    make_handler : callable
+        Returns what answers at the admin address.
+    reload : callable, optional
+        Reads the settings again.
     """
 
-    def __init__(self, settings: Settings, timers: TimerService):
+    def __init__(
+        self,
+        settings: Settings,
+        timers: TimerService,
+        dialect: Dialect = OWN_DIALECT,
+        make_handler: MakeHandler = make_admin_handler,
+        reload: Callable[[], Settings] | None = None,
+    ):
         self.settings = settings
+        self._make_handler = make_handler
+        self._reload = reload
         self.clock = timers.clock
         self.node = NodeId(settings.process.name)
         self.boot = BootId(secrets.token_hex(BOOT_ID_BYTES))
@@ -90,14 +119,16 @@
         self.metrics = NodeMetrics()
         self.random = Random(settings.process.random_seed or None)
         self.supervisor = Supervisor("node", timers.clock)
+        self.draining = False
         data_centre = settings.process.data_centre
-        self.gate = Gate(settings.gate, data_centre, timers, self.node)
+        self.gate = Gate(settings.gate, data_centre, timers, self.node, dialect)
         self.links = PeerLinks(self.identity, settings.entry.connect_timeout_ms, self)
+        control_streams = settings.node.control_streams()
         self.control = ControlLink(
-            settings.node.control_addresses,
+            control_streams,
             self.identity,
             self,
-            first=self.random.randrange(max(1, len(settings.node.control_addresses))),
+            first=self.random.randrange(max(1, len(control_streams))),
         )
         self.claims = NodeClaims(self.control)
         self.releases = NodeReleases(
@@ -114,9 +145,12 @@
             timers.clock,
             self.metrics,
             self.releases,
+            dialect,
         )
+        self.entry.caller_service = settings.node.service
         self.peer_views = PeerViews(self.control, self.links, self.random, timers)
         self.announced_at_ms = 0.0
+        self._last_beat = LastBeat()
         timers.every(MEASURE_INTERVAL_MS, self._measure)
         timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
         timers.every(caller.CHECK_INTERVAL_MS, self.entry.close_idle)
@@ -129,6 +163,51 @@
         self.gate.announce(announcement)
         self._register()
 
+    def announced(self, announcement: Announcement, number: int, leaving: bool) -> None:
+        """Take a numbered announcement, unless a later one was taken before.
+
+        Raises
+        ------
+        ValueError
+            It is of no upstream that may stand beside this node.
+        """
+        self._check_place(announcement)
+        if not self._last_beat.take(announcement, number):
+            log_event(log, "announcement_late", upstream=announcement.upstream)
+            return
+        self.announce(announcement)
+        if leaving:
+            self.upstream_leaves(Leave(announcement.upstream, announcement.boot))
+
+    def _check_place(self, announcement: Announcement) -> None:
+        node = self.settings.node
+        address = Address(announcement.host, announcement.port)
+        if node.upstream_address not in (None, address):
+            raise ValueError(f"the upstream of this node is at {node.upstream_address}")
+        services = self.control.view.configuration.services or (node.service,)
+        if announcement.service not in services:
+            raise ValueError(f"service {announcement.service} is unknown")
+
+    def is_ready(self) -> bool:
+        """Return whether this node can serve callers."""
+        return bool(self.control.view.configuration.revision) and not self.draining
+
+    def reload(self) -> None:
+        """Read the settings again, and use what may change while the node runs."""
+        if self._reload is None:
+            return
+        try:
+            settings = self._reload()
+        except SettingsError as error:
+            log_event(log, "settings_refused", reason=error)
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self.control.use_seeds(settings.node.control_streams())
+        self.entry.caller_service = settings.node.service
+        log_event(log, "settings_reloaded", service=settings.node.service)
+
     def upstream_leaves(self, leave: Leave) -> bool:
         """Send the upstream nothing new; return whether it is the one here."""
         if not self.gate.leave(leave.upstream, leave.boot):
@@ -206,6 +285,8 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then finish what is in flight."""
         servers = await self._open_servers()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.supervisor.add("control", self.control.run)
         log_event(log, "node_started", address=self.settings.node.caller_address)
         await run_until_stopped(stop, self.supervisor, partial(self._drain, servers))
@@ -225,8 +306,18 @@
             self.gate,
             self.control.view.message,
         )
-        admin = await serve_http(addresses.admin_address, NodeAdmin(self).handle)
-        return [callers, nodes, admin]
+        admin = await serve_http(addresses.admin_address, self._make_handler(self))
+        servers = [callers, nodes, admin]
+        if addresses.ready_address is not None:
+            servers.append(
+                await serve_http(addresses.ready_address, self._answer_ready)
+            )
+        return servers
+
+    async def _answer_ready(self, request: HttpRequest) -> HttpAnswer:
+        if self.is_ready():
+            return text_answer("ready\n")
+        return text_answer("not ready\n", 503)
 
     async def _drain(self, servers: list[asyncio.Server]) -> None:
         """Refuse new work, and stay until the peers know and all is answered.
@@ -235,14 +326,19 @@
         its entry in doubt whether the call has run.
         """
         log_event(log, "node_draining", calls=len(self.entry.calls))
-        servers[0].close()
+        self.draining = True
+        notice_ms = self.settings.node.drain_notice_ms
+        if not notice_ms:
+            servers[0].close()
         self.gate.drain()
         self.control.leave()
-        self.entry.drain()
+        self.entry.drain(close_idle=not notice_ms)
         timeout_s = self.settings.node.drain_timeout_ms / MS_PER_S
         try:
             async with asyncio.timeout(timeout_s):
-                await asyncio.sleep(LEAVE_NOTICE_MS / MS_PER_S)
+                await asyncio.sleep(max(notice_ms, LEAVE_NOTICE_MS) / MS_PER_S)
+                servers[0].close()
+                self.entry.drain()
                 await self.entry.idle.wait()
                 await self.gate.idle.wait()
                 await self.claims.settled()
@@ -290,6 +386,12 @@
         self.control.send(EvidenceReport(self.node, data))
 
 
-def run_node(settings: Settings) -> int:
+def run_node(
+    settings: Settings,
+    dialect: Dialect = OWN_DIALECT,
+    make_handler: MakeHandler = make_admin_handler,
+    reload: Callable[[], Settings] | None = None,
+) -> int:
     """Run a node until it is told to stop, and return the exit code."""
-    return run_daemon(settings, Node)
+    make_node = partial(Node, dialect=dialect, make_handler=make_handler, reload=reload)
+    return run_daemon(settings, make_node)
--- a/cicadawheel/node/link.py
+++ b/cicadawheel/node/link.py
@@ -18,6 +18,7 @@
     RegisterAgain,
     Registered,
     Renewal,
+    Replicas,
     View,
     ViewDelta,
 )
@@ -79,6 +80,7 @@
         first: int,
     ):
         self.addresses = addresses
+        self.seeds = addresses
         self.identity = identity
         self.owner = owner
         self.node = NodeId(identity.name)
@@ -149,6 +151,8 @@
             self._registered.set()
         elif isinstance(message, RegisterAgain):
             self._renew(with_member=True)
+        elif isinstance(message, Replicas):
+            self._learn_hosts(message.hosts)
         elif isinstance(message, ClaimAnswer):
             self.owner.claim_answered(message)
         elif self._take_view(message):
@@ -197,6 +201,22 @@
                 ConnectionLostError("replica is cut off", peer=self.replica)
             )
 
+    def use_seeds(self, seeds: tuple[Address, ...]) -> None:
+        """Try other addresses from now on, beside the replicas that are known."""
+        if seeds != self.seeds:
+            known = tuple(one for one in self.addresses if one not in self.seeds)
+            self.seeds = seeds
+            self.addresses = tuple(dict.fromkeys((*seeds, *known)))
+
+    def _learn_hosts(self, hosts: tuple[str, ...]) -> None:
+        """Take over where the replicas are; they use one port on all hosts."""
+        if not hosts:
+            return
+        port = self.seeds[0].port
+        known = [Address(host, port) for host in hosts]
+        self.addresses = tuple(dict.fromkeys((*known, *self.seeds)))
+        log_event(log, "replicas_known", hosts=",".join(hosts))
+
     def _take_beat(self, beat: Beat) -> None:
         if beat.current:
             self._current_at_s = asyncio.get_running_loop().time()
--- /dev/null
+++ b/cicadawheel/platform/document.py
@@ -0,0 +1,176 @@
+"""The configuration document of the platform's operators, decoded into rules."""
+
+from typing import Literal
+
+import msgspec
+
+from cicadawheel.configuration import (
+    CallerLimits,
+    Configuration,
+    DataCentreRule,
+    HostRoute,
+    ReleaseHabits,
+    RepeatRule,
+    ServiceRule,
+    ServiceShare,
+)
+from cicadawheel.ids import DataCentreName, RouteName, ServiceName
+from cicadawheel.timer import MS_PER_S
+
+REPEAT_OF_KIND = {
+    "idempotent": RepeatRule.REPEATABLE,
+    "non_idempotent": RepeatRule.ONCE,
+    "upload": RepeatRule.ONCE,
+}
+
+
+class ServiceBody(msgspec.Struct, frozen=True):
+    """One service of a document."""
+
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 100
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+class ShareBody(msgspec.Struct, frozen=True):
+    """A service's part of a route."""
+
+    service: str
+    weight: float
+
+
+class PathBody(msgspec.Struct, frozen=True):
+    """One route. It has either one ``service``, or several with weights.
+
+    ``target_latency_s`` counts from the caller's first attempt.
+    """
+
+    path_prefix: str
+    route_type: Literal["idempotent", "non_idempotent", "upload"]
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int
+    name: str = ""
+    priority: int = 0
+    service: str = ""
+    weighted_clusters: tuple[ShareBody, ...] = ()
+
+    def shares(self) -> tuple[ServiceShare, ...]:
+        """Return the services of the route with their weights."""
+        if not self.weighted_clusters:
+            return (ServiceShare(ServiceName(self.service), 1.0),)
+        return tuple(
+            ServiceShare(ServiceName(share.service), share.weight)
+            for share in self.weighted_clusters
+        )
+
+
+class HostBody(msgspec.Struct, frozen=True):
+    """The routes of one host."""
+
+    host: str
+    paths: tuple[PathBody, ...]
+
+
+class LimitsBody(msgspec.Struct, frozen=True):
+    """What callers may send."""
+
+    max_header_bytes: int = 0
+    max_body_bytes: int = 0
+    header_timeout_s: float = 0.0
+    idle_timeout_s: float = 0.0
+
+
+class DocumentBody(msgspec.Struct, frozen=True):
+    """A whole document; ``base_version`` 0 stands for the first."""
+
+    version: int
+    services: tuple[ServiceBody, ...]
+    virtual_hosts: tuple[HostBody, ...]
+    base_version: int = 0
+    limits: LimitsBody = LimitsBody()
+
+
+class Document(msgspec.Struct, frozen=True):
+    """A document in the product's terms; ``routes`` may still contradict."""
+
+    version: int
+    base_version: int
+    canonical: bytes
+    services: tuple[ServiceRule, ...]
+    routes: tuple[HostRoute, ...]
+    callers: CallerLimits
+
+    def configuration(self, data_centres: tuple[DataCentreName, ...]) -> Configuration:
+        """Return the rules of the document for a deployment's data centres."""
+        return Configuration(
+            services={service.name: service for service in self.services},
+            data_centres={name: DataCentreRule(name) for name in data_centres},
+            routes={route.name: route for route in self.routes},
+            callers=self.callers,
+        )
+
+
+def decode_document(body: bytes, habits: ReleaseHabits) -> Document:
+    """Return a document, whose services get the habits of the deployment.
+
+    Raises
+    ------
+    ValueError
+        It can't be read in full.
+    """
+    try:
+        document = msgspec.json.decode(body, type=DocumentBody)
+        canonical = msgspec.json.encode(msgspec.json.decode(body), order="sorted")
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ValueError(str(error)) from error
+    return Document(
+        version=document.version,
+        base_version=document.base_version,
+        canonical=canonical,
+        services=tuple(_service(service, habits) for service in document.services),
+        routes=tuple(
+            _route(host.host, path)
+            for host in document.virtual_hosts
+            for path in host.paths
+        ),
+        callers=_callers(document.limits),
+    )
+
+
+def _service(service: ServiceBody, habits: ReleaseHabits) -> ServiceRule:
+    return ServiceRule(
+        name=ServiceName(service.name),
+        deadline_ms=0.0,
+        habits=habits,
+        health_path=service.health_path,
+        connections=service.max_connections,
+        cold_ms=service.cold_start_s * MS_PER_S,
+        cold_calls_per_s=service.cold_per_s,
+    )
+
+
+def _route(host: str, path: PathBody) -> HostRoute:
+    host = host.lower()
+    return HostRoute(
+        name=RouteName(host + path.path_prefix),
+        host=host,
+        path_prefix=path.path_prefix,
+        repeat=REPEAT_OF_KIND[path.route_type],
+        shares=path.shares(),
+        deadline_ms=path.timeout_s * MS_PER_S,
+        target_ms=path.target_latency_s * MS_PER_S,
+        priority=path.priority,
+        attempts=path.max_attempts,
+    )
+
+
+def _callers(limits: LimitsBody) -> CallerLimits:
+    return CallerLimits(
+        head_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        head_timeout_ms=limits.header_timeout_s * MS_PER_S,
+        idle_timeout_ms=limits.idle_timeout_s * MS_PER_S,
+    )
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
+from cicadawheel.configuration import ReleaseHabits
 from cicadawheel.errors import SettingsError
-from cicadawheel.ids import DataCentreName, ReplicaId
+from cicadawheel.ids import DataCentreName, ReplicaId, ServiceName
 
 DEFAULTS = Path(__file__).with_name("config_default.ini")
 KEY_MIN_CHARACTERS = 16
@@ -16,6 +17,7 @@
 NotNegative = Annotated[int, msgspec.Meta(ge=0)]
 PositiveMs = Annotated[float, msgspec.Meta(gt=0)]
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
+Port = Annotated[int, msgspec.Meta(ge=0, lt=65_536)]
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -54,7 +56,21 @@
     advertised_peer_address: Address | None
     admin_address: Address
     control_addresses: tuple[Address, ...]
+    control_port: Port
+    ready_address: Address | None
+    service: ServiceName
+    upstream_address: Address | None
     drain_timeout_ms: PositiveMs
+    drain_notice_ms: NotNegative
+
+    def control_streams(self) -> tuple[Address, ...]:
+        """Return where control's replicas take the streams of nodes."""
+        if not self.control_port:
+            return self.control_addresses
+        return tuple(
+            Address(address.host, self.control_port)
+            for address in self.control_addresses
+        )
 
 
 class GateSettings(msgspec.Struct, frozen=True):
@@ -88,6 +104,9 @@
     depth_limit: Positive = 8
     default_deadline_ms: PositiveMs = 10_000.0
     connect_timeout_ms: PositiveMs = 250.0
+    retry_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    retry_window_ms: PositiveMs = 10_000.0
     head_limit_bytes: Positive = 32_768
     connection_limit: Positive = 4_096
 
@@ -99,13 +118,31 @@
     replica_address: Address
     operator_address: Address
     replicas: tuple[ReplicaAddress, ...]
+    seeds: tuple[Address, ...]
+    may_form: bool
+    replica: ReplicaId
+    replica_losses: NotNegative
+    data_centres: tuple[DataCentreName, ...]
     data_folder: str
     election_timeout_ms: PositiveMs
     heartbeat_ms: PositiveMs
     lease_ms: PositiveMs
+    release_share: Annotated[float, msgspec.Meta(gt=0, le=0.5)]
+    release_stage_ms: PositiveMs
     claim_window_s: Positive
     snapshot_entries: Positive
 
+    def habits(self) -> ReleaseHabits:
+        """Return how new versions are brought in where no answers say so."""
+        return ReleaseHabits(
+            proof_share_limit=self.release_share, stage_min_ms=self.release_stage_ms
+        )
+
+    @property
+    def voter_target(self) -> int:
+        """How many replicas are to vote, 0 for all."""
+        return 2 * self.replica_losses + 1 if self.replica_losses else 0
+
 
 class Settings(msgspec.Struct, frozen=True):
     """All settings of one process."""
@@ -116,6 +153,11 @@
     entry: EntrySettings
     control: ControlSettings
 
+    @property
+    def replica(self) -> ReplicaId:
+        """The id of this control replica, by default the name of its process."""
+        return self.control.replica or ReplicaId(self.process.name)
+
 
 def load_settings(path: Path) -> Settings:
     """Return the settings of a file, on top of the defaults.
@@ -126,8 +168,19 @@
         The file can't be read, or holds a key or value that can't be used. The
         message names the file, the section, the key, the value and a remedy.
     """
+    return load_settings_text(path, _parse(path))
+
+
+def load_settings_text(path: Path, parser: configparser.ConfigParser) -> Settings:
+    """Return the settings that a file holds, on top of the defaults.
+
+    Raises
+    ------
+    SettingsError
+        It holds a key or value that can't be used. The message names the file, the
+        section, the key, the value and a remedy.
+    """
     defaults = _parse(DEFAULTS)
-    parser = _parse(path)
     for section in parser.sections():
         _check_section(path, section, parser, defaults)
         for key, value in parser.items(section):
@@ -199,6 +252,8 @@
         return parse_address(text) if text else None
     if kind == tuple[Address, ...]:
         return tuple(parse_address(item) for item in _split(text))
+    if kind == tuple[DataCentreName, ...]:
+        return tuple(DataCentreName(item) for item in _split(text))
     if kind == tuple[ReplicaAddress, ...]:
         return tuple(_parse_replica(item) for item in _split(text))
     return msgspec.convert(text, kind, strict=False)
