A replica keeps its streams when a contact at a seed ends

Change: another open stream takes the place of one that ends, and only a replica that is no member yet looks at the seeds.

--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -178,10 +178,18 @@
         for streams in (self._incoming, self._outgoing):
             if streams.get(peer) is stream:
                 del streams[peer]
+                self._use_another(streams, stream)
         if stream in self._closed:
             self._closed[stream].set()
         log_event(log, "replica_stream_closed", peer=peer, reason=str(error or ""))
 
+    def _use_another(self, streams: dict[ReplicaId, Stream], ended: Stream) -> None:
+        """Let another stream of the same side take the place of one that ended."""
+        for stream in self._introductions:
+            if stream.peer == ended.peer and stream.is_open():
+                if stream.handshake.role is ended.handshake.role:
+                    streams[ReplicaId(ended.peer)] = stream
+
     def _stream_to(self, replica: ReplicaId) -> Stream | None:
         for streams in (self._outgoing, self._incoming):
             stream = streams.get(replica)
--- a/cicadawheel/control/replica/runner.py
+++ b/cicadawheel/control/replica/runner.py
@@ -229,14 +229,14 @@
         )
 
     async def _find_others(self) -> None:
-        """Look for the others at the seeds while no leader is heard, and join them."""
+        """Look for the others at the seeds until this replica is one of them."""
         own = self.control.replica_address
         seeds = {Address(seed.host, own.port) for seed in self.control.seeds}
         while True:
             raft = None if self.engine is None else self.engine.raft
-            alone = raft is None or raft.leader is None
+            alone = raft is not None and raft.membership.find(self.replica) is None
             self.network.set_contacts(seeds - {own} if alone else set())
-            if raft is not None and raft.membership.find(self.replica) is None:
+            if alone:
                 self._ask_to_join(own)
             await asyncio.sleep(FIND_INTERVAL_MS / MS_PER_S)
 
