Calls are placed where the answer is expected soonest, on load told within ms

Cause: the fourth figure of an upstream's load is 7 for spells of half a second and 1 else (trial, seen at 20 Hz), and an entry placed calls on figures that were up to seconds old; the gate took slow spells for cold starts and admitted hardly anything. Change: admission to upstreams that tell their load (slots, sliding second while cold, queue by priority); health is read on one kept connection; gates tell entries of changes; entries place by expected answer, and send idempotent calls once more when their upstream slows down, within the budget that all entries share.

--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -186,9 +186,9 @@
     def _use_another(self, streams: dict[ReplicaId, Stream], ended: Stream) -> None:
         """Let another stream of the same side take the place of one that ended."""
         for stream in self._introductions:
-            if stream.peer == ended.peer and stream.is_open():
-                if stream.handshake.role is ended.handshake.role:
-                    streams[ReplicaId(ended.peer)] = stream
+            same_side = stream.handshake.role is ended.handshake.role
+            if stream.peer == ended.peer and same_side and stream.is_open():
+                streams[ReplicaId(ended.peer)] = stream
 
     def _stream_to(self, replica: ReplicaId) -> Stream | None:
         for streams in (self._outgoing, self._incoming):
--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -43,6 +43,8 @@
 
 GATE_MARGIN_MS = 10.0
 GATE_MARGIN_SHARE = 0.05
+# A second send must be expected to answer so much sooner to be worth its work.
+HEDGE_GAIN_MS = 60.0
 
 
 class CallState(Enum):
@@ -187,7 +189,7 @@
 
     def _try(self) -> None:
         self.state = CallState.TRYING
-        pick = self.entry.pick(self.plan, self._attempts.tried, self._only_at)
+        pick = self._pick()
         if pick is None:
             self._refuse(self._last_reason or RefusalReason.NO_UPSTREAM)
             return
@@ -198,6 +200,35 @@
             if self._body.empty and self.plan.repeatable:
                 self._attempts.plan_hedge(self._hedge)
 
+    def _pick(self) -> "Pick | None":
+        return self.entry.pick(
+            self.plan, self._attempts.tried, self._only_at, len(self._body.beginning)
+        )
+
+    def upstream_slowed(self, node: NodeId) -> None:
+        """Send the call once more if it runs where work takes far longer now."""
+        live = self._attempts.live
+        if self.state is not CallState.TRYING or not self.plan.repeatable:
+            return
+        if len(live) != 1 or live[0].node != node or not self._body.empty:
+            return
+        if self._only_at or not self._may_hand_over():
+            return
+        pick = self._pick()
+        if pick is None or pick.member.node in self._attempts.tried:
+            return
+        gain_ms = self.entry.hedge_gain_ms(self.plan, live[0].pick, pick, 0)
+        if gain_ms > HEDGE_GAIN_MS and self.entry.may_hedge(self.plan):
+            log_event(
+                log,
+                "call_hedged",
+                request=self.plan.request,
+                node=node,
+                other=pick.member.node,
+                gain_ms=gain_ms,
+            )
+            self._open_attempt(pick)
+
     def _open_attempt(self, pick: "Pick") -> Attempt:
         self.node = pick.member.node
         call = self._make_open(pick.member.version)
@@ -209,7 +240,7 @@
         if self._only_at or not self._may_hand_over():
             return
         tried = self._attempts.tried
-        pick = self.entry.pick(self.plan, tried, self._only_at)
+        pick = self._pick()
         if pick is None or pick.member.node in tried:
             return
         if self.entry.may_hedge(self.plan):
--- a/cicadawheel/entry/candidate.py
+++ b/cicadawheel/entry/candidate.py
@@ -93,6 +93,18 @@
             return max(1.0, self.member.slots * self.trust)
         return max(1.0, self.load.limit * self.load.cold_share * self.trust)
 
+    @property
+    def slowness(self) -> float:
+        """How many times the usual its work takes, as its gate has told last."""
+        return 1.0 if self.load is None else self.load.slowness
+
+    def calls(self) -> float:
+        """Return how many calls its gate had, and what was sent there since."""
+        if self.load is None:
+            return float(self.own_in_flight)
+        told = self.load.in_flight + self.load.queued + self._sent_since
+        return float(max(told, self.own_in_flight))
+
     def in_flight(self, now_ms: float, half_life_ms: float) -> float:
         """Return the estimate of the calls that it has.
 
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -16,6 +16,7 @@
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.latency import Latencies
 from cicadawheel.entry.peers import CallHandle, PeerLinks, ReplySink
+from cicadawheel.entry.placement import Need, Works
 from cicadawheel.entry.plan import CallPlan, plan_by_host, plan_call
 from cicadawheel.entry.probing import PROBE_COST_BYTES, MeasuringMeter
 from cicadawheel.entry.retry import (
@@ -27,6 +28,7 @@
 from cicadawheel.entry.router import Router, RouterReport
 from cicadawheel.entry.routes import RouteTable
 from cicadawheel.entry.versions import Pick, Versions
+from cicadawheel.entry.window_budget import WindowBudget
 from cicadawheel.gate.gate import Gate
 from cicadawheel.http.caller import CallerConnection
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
@@ -55,6 +57,8 @@
 log = logging.getLogger(__name__)
 
 FIRST_SERVER_ERROR = 500
+# Calls at an upstream that has slowed down by this factor may be sent once more.
+SLOWED_FACTOR = 2.0
 HEDGED_METHODS = frozenset(("GET", "HEAD"))
 
 
@@ -122,7 +126,8 @@
         self.dialect = dialect
         self.routes = RouteTable(router.random)
         self.caller_service = ServiceName("")
-        self.budget = RetryBudget()
+        self.budget = _make_budget(settings)
+        self.works = Works()
         self.latencies = Latencies()
         self.meter = MeasuringMeter()
         self.quarantined: frozenset[Fingerprint] = frozenset()
@@ -143,6 +148,9 @@
         """Replace the list of upstreams."""
         self.router.set_members(members, self.clock.now_ms())
         self.links.keep_only({member.node for member in members})
+        if isinstance(self.budget, WindowBudget):
+            self.budget.entries = len(members)
+            self.links.keep_open([one for one in members if one.node != self.node])
 
     def drain(self, close_idle: bool = True) -> None:
         """End each connection after its next answer, and those that are idle now."""
@@ -185,6 +193,7 @@
             log_event(log, "call_faulty", peer=connection.peer, reason=plan.value)
             connection.respond(answer.status, answer.headers, answer.body)
             return None
+        self.budget.call_began(plan.service, self.clock.now_ms())
         call = EntryCall(self, connection, request, plan)
         self.calls.add(call)
         self.idle.clear()
@@ -210,29 +219,37 @@
         """Return the answer for a call that no upstream has answered."""
         return answer_refusal(reason, not_run, plan.request, self.dialect)
 
-    def pick(self, plan: CallPlan, tried: set[NodeId], only_at: NodeId) -> Pick | None:
+    def pick(
+        self, plan: CallPlan, tried: set[NodeId], only_at: NodeId, body_bytes: int = 0
+    ) -> Pick | None:
         """Return the upstream for the next attempt, or None.
 
         ``only_at`` names the one node that may run the request, if set.
         """
+        need = Need(self.works.usual_ms(plan.route), body_bytes)
         now_ms = self.clock.now_ms()
         choice = self.versions.choose(plan.service, retry=bool(tried))
         if only_at:
             member = self.router.member(only_at)
         else:
-            member = self._pick_of_version(plan, choice, tried, now_ms)
+            member = self._pick_of_version(plan, choice, tried, now_ms, need)
         if member is None and not tried:
             choice = self.versions.choose(plan.service, retry=True)
-            member = self._pick_of_version(plan, choice, tried, now_ms)
+            member = self._pick_of_version(plan, choice, tried, now_ms, need)
         return None if member is None else Pick(member, choice, now_ms)
 
     def _pick_of_version(
-        self, plan: CallPlan, choice: VersionChoice, tried: set[NodeId], now_ms: float
+        self,
+        plan: CallPlan,
+        choice: VersionChoice,
+        tried: set[NodeId],
+        now_ms: float,
+        need: Need,
     ) -> Member | None:
         preferred = self.versions.preferred(plan.service, choice)
         if preferred is not None and self.router.is_open(preferred.node, now_ms):
             return preferred
-        return self.router.pick(plan.service, choice.version, tried, now_ms)
+        return self.router.pick(plan.service, choice.version, tried, now_ms, need)
 
     def open(self, member: Member, call: CallOpen, sink: ReplySink) -> CallHandle:
         """Hand an attempt to the gate of an upstream."""
@@ -247,6 +264,9 @@
         node = pick.member.node
         good = head.status < FIRST_SERVER_ERROR
         latency_ms = self._record(plan, pick, failed=not good)
+        if good:
+            slowness = max(self.router.slowness(node), head.load.slowness)
+            self.works.answered(plan.route, latency_ms, slowness)
         self.router.ended(node, head.load, now_ms)
         if self.router.answered(node, good, now_ms):
             log_event(log, "upstream_ejected", node=node, reason="bad answers")
@@ -285,9 +305,22 @@
 
         ``reached`` is how many upstreams the call has reached so far.
         """
+        if isinstance(self.budget, WindowBudget):
+            return self._spend(plan, HEDGE_COST) if reached else True
         cost = retry_cost(refused)
         return self._spend(plan, cost) if cost else True
 
+    def hedge_gain_ms(
+        self, plan: CallPlan, pick: Pick, other: Pick, body_bytes: int
+    ) -> float:
+        """Return how much sooner a second send is expected to answer than the first.
+
+        It is worth less the fewer of them are left.
+        """
+        need = Need(self.works.usual_ms(plan.route), body_bytes)
+        ran_ms = self.clock.now_ms() - pick.at_ms
+        return self.router.gain_ms(pick.member, other.member, need, ran_ms)
+
     def hedge_delay_ms(self, plan: CallPlan) -> float | None:
         """Return how long to wait before a second attempt, None for never."""
         quantile = plan.hedge_after_quantile
@@ -307,7 +340,11 @@
 
     def observe(self, node: NodeId, load: LoadReport) -> None:
         """Take a load that a probe has brought."""
+        slowed = load.slowness > self.router.slowness(node) * SLOWED_FACTOR
         self.router.observe(node, load, self.clock.now_ms())
+        if slowed:
+            for call in list(self.calls):
+                call.upstream_slowed(node)
 
     def call_ended(self, call: EntryCall, end: CallEnd) -> None:
         """Forget a call."""
@@ -341,3 +378,11 @@
             retry_budgets=self.budget.report(),
             quarantined=sorted(self.quarantined),
         )
+
+
+def _make_budget(settings: EntrySettings) -> RetryBudget | WindowBudget:
+    if not (settings.retry_share or settings.retry_slack):
+        return RetryBudget()
+    return WindowBudget(
+        settings.retry_share, settings.retry_slack, settings.retry_window_ms
+    )
--- a/cicadawheel/entry/peers.py
+++ b/cicadawheel/entry/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import msgspec
@@ -132,7 +132,11 @@
             self._stream.send(message)
             return
         self._unsent.append(message)
-        if self._connecting is None:
+        self.open_stream()
+
+    def open_stream(self) -> None:
+        """Connect, unless that was done."""
+        if self._stream is None and self._connecting is None:
             self._connecting = asyncio.ensure_future(self._connect())
 
     def check(self, now_ms: float) -> None:
@@ -256,6 +260,11 @@
             if self._links[node].calls_open == 0:
                 self._links.pop(node).close()
 
+    def keep_open(self, members: Iterable[Member]) -> None:
+        """Connect to nodes before a call needs it, to hear of their load."""
+        for member in members:
+            self.link(member).open_stream()
+
     def close(self) -> None:
         """End all links."""
         for link in self._links.values():
@@ -263,7 +272,7 @@
 
 
 def _same_place(one: Member, other: Member) -> bool:
-    return (one.host, one.port, one.epoch) == (other.host, other.port, other.epoch)
+    return (one.host, one.port) == (other.host, other.port)
 
 
 def _ends_call(message: ReplyMessage) -> bool:
--- a/cicadawheel/entry/policy.py
+++ b/cicadawheel/entry/policy.py
@@ -5,6 +5,7 @@
 
 from cicadawheel.entry.candidate import SPILL_BEGIN_USE, Candidate
 from cicadawheel.entry.group import Group, Usable, sample_usable
+from cicadawheel.entry.placement import NO_NEED, Need, SoonestAnswer
 from cicadawheel.errors import SettingsError
 from cicadawheel.settings import EntrySettings
 
@@ -17,11 +18,17 @@
     """Picks among the candidates of one group."""
 
     def pick(
-        self, group: Group, usable: Usable, usual_ms: float, now_ms: float
+        self,
+        group: Group,
+        usable: Usable,
+        usual_ms: float,
+        now_ms: float,
+        need: Need = NO_NEED,
     ) -> Candidate | None:
         """Return the candidate for a call, or None if none is usable.
 
-        ``usual_ms`` is the usual service time of the service.
+        ``usual_ms`` is the usual service time of the service, ``need`` what is known
+        of the call.
         """
 
 
@@ -45,7 +52,12 @@
         self.random = random
 
     def pick(
-        self, group: Group, usable: Usable, usual_ms: float, now_ms: float
+        self,
+        group: Group,
+        usable: Usable,
+        usual_ms: float,
+        now_ms: float,
+        need: Need = NO_NEED,
     ) -> Candidate | None:
         """Return the candidate for a call, or None if none is usable."""
         best, best_ms = None, 0.0
@@ -98,7 +110,12 @@
         self.random = random
 
     def pick(
-        self, group: Group, usable: Usable, usual_ms: float, now_ms: float
+        self,
+        group: Group,
+        usable: Usable,
+        usual_ms: float,
+        now_ms: float,
+        need: Need = NO_NEED,
     ) -> Candidate | None:
         """Return the candidate for a call, or None if none is usable."""
         drawn = sample_usable(self.random, group.everyone, 2, usable)
@@ -116,7 +133,12 @@
         self._turn = 0
 
     def pick(
-        self, group: Group, usable: Usable, usual_ms: float, now_ms: float
+        self,
+        group: Group,
+        usable: Usable,
+        usual_ms: float,
+        now_ms: float,
+        need: Need = NO_NEED,
     ) -> Candidate | None:
         """Return the candidate for a call, or None if none is usable."""
         count = len(group.everyone)
@@ -141,7 +163,12 @@
         self.random = random
 
     def pick(
-        self, group: Group, usable: Usable, usual_ms: float, now_ms: float
+        self,
+        group: Group,
+        usable: Usable,
+        usual_ms: float,
+        now_ms: float,
+        need: Need = NO_NEED,
     ) -> Candidate | None:
         """Return the candidate for a call, or None if none is usable."""
         drawn = sample_usable(self.random, group.everyone, 1, usable)
@@ -152,7 +179,12 @@
     """Takes the upstream whose last report shows the least use."""
 
     def pick(
-        self, group: Group, usable: Usable, usual_ms: float, now_ms: float
+        self,
+        group: Group,
+        usable: Usable,
+        usual_ms: float,
+        now_ms: float,
+        need: Need = NO_NEED,
     ) -> Candidate | None:
         """Return the candidate for a call, or None if none is usable."""
         return min(
@@ -170,6 +202,8 @@
     """
     if settings.policy == "weighted-choices":
         return WeightedChoices(settings, random)
+    if settings.policy == "soonest-answer":
+        return SoonestAnswer(random)
     if settings.policy == "two-choices":
         return TwoChoices(settings, random)
     if settings.policy == "round-robin":
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -16,6 +16,7 @@
     Ejections,
 )
 from cicadawheel.entry.group import Group, make_group
+from cicadawheel.entry.placement import NO_NEED, Need, answer_ms, remaining_ms
 from cicadawheel.entry.policy import make_policy
 from cicadawheel.ids import (
     DataCentreName,
@@ -31,6 +32,8 @@
 CALLED_OF_LATE_MS = 10_000.0
 HEARTBEAT_MS = 200.0
 SILENT_MS = 500.0
+# Work that has run for as long as usual is taken to have this part of it left.
+LEAST_LEFT_PART = 0.3
 CLOSED_REASONS = frozenset(
     (
         RefusalReason.LEAVING,
@@ -126,6 +129,7 @@
         version: VersionName,
         exclude: set[NodeId],
         now_ms: float,
+        need: Need = NO_NEED,
     ) -> Member | None:
         """Return the upstream for a call, or None if there is none.
 
@@ -149,11 +153,43 @@
             return candidate.is_open(now_ms)
 
         for usable in (fresh, untried, open_at_all):
-            picked = self._policy.pick(group, usable, usual_ms, now_ms)
+            picked = self._policy.pick(group, usable, usual_ms, now_ms, need)
             if picked is not None:
                 return picked.member
         return None
 
+    def slowness(self, node: NodeId) -> float:
+        """Return how slow a node's upstream is, as far as it is known."""
+        candidate = self._candidates.get(node)
+        return 1.0 if candidate is None else candidate.slowness
+
+    def gain_ms(
+        self, member: Member, other: Member, need: Need, ran_ms: float
+    ) -> float:
+        """Return how much sooner a second send to another upstream would answer.
+
+        ``ran_ms`` is for how long the first one runs; its work is taken for begun at
+        the slowness that its machine has now, if that is slow.
+        """
+        here = self._candidates.get(member.node)
+        there = self._candidates.get(other.node)
+        if here is None or there is None:
+            return 0.0
+        left_ms = max(LEAST_LEFT_PART * need.work_ms, need.work_ms - ran_ms)
+        if here.slowness > 1.0:
+            left_ms = max(left_ms, need.work_ms - ran_ms / here.slowness)
+        distance_ms = self._distance_ms(other)
+        own = other.node == self.node
+        there_ms = answer_ms(there, need, distance_ms, own)
+        return remaining_ms(left_ms, here.slowness) - there_ms
+
+    def _distance_ms(self, member: Member) -> float:
+        group = self._group(member.service, VersionName(""))
+        for tier in group.tiers:
+            if any(item.member.node == member.node for item in tier.candidates):
+                return tier.distance_ms
+        return 0.0
+
     def member(self, node: NodeId) -> Member | None:
         """Return the registration of a node, or None."""
         candidate = self._candidates.get(node)
--- a/cicadawheel/gate/admission.py
+++ b/cicadawheel/gate/admission.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from cicadawheel.gate.decision import Decision, Result, Verdict
+from cicadawheel.announcement import UpstreamLoad
+from cicadawheel.gate.decision import NO_WISH, Decision, Result, Verdict, Wish
 from cicadawheel.gate.limit import make_limit
 from cicadawheel.gate.service_time import ServiceTimes
 from cicadawheel.gate.slowdown import Slowdown, SlowdownState
@@ -75,8 +76,10 @@
         self._warming = False
         self._fell_back = False
 
-    def upstream_started(self, boot: BootId, slots: int, now_ms: float) -> None:
-        """Take note of an upstream that has announced itself."""
+    def upstream_started(
+        self, boot: BootId, slots: int, now_ms: float, cold_ms: float = 0.0
+    ) -> None:
+        """Take note of an upstream that has announced itself; it is taken for cold."""
         self.boot = boot
         self.slots = slots
         self.leaving = False
@@ -113,10 +116,12 @@
         now_ms: float,
         kind: str = "",
         alone: bool = False,
+        wish: Wish = NO_WISH,
     ) -> Decision:
         """Return the verdict on a new request.
 
-        ``alone`` asks that nothing else is in flight while it begins to run.
+        ``alone`` asks that nothing else is in flight while it begins to run. Wishes
+        are not heard: requests wait in the order in which they came.
         """
         if self.closed_reason is not None:
             return Decision(ticket, Verdict.REFUSE, self.closed_reason)
@@ -194,6 +199,15 @@
             decisions.append(Decision(ticket, Verdict.ADMIT))
         return decisions
 
+    def told_load(self, load: UpstreamLoad) -> None:
+        """Ignore what the upstream says of its load: it is learnt from answers."""
+
+    def told_cold(self, cold_ms: float, now_ms: float) -> None:
+        """Ignore how long the upstream says that it stays cold."""
+
+    def set_cold_limit(self, calls_per_s: float) -> None:
+        """Ignore what a cold upstream is said to bear."""
+
     def check_late(self, now_ms: float) -> None:
         """Notice a jump in service time by requests that don't come back."""
         self._check_slowdown(now_ms)
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -171,6 +171,7 @@
         if self._sent_at_ms is not None:
             self._service_time_ms = self.gate.clock.now_ms() - self._sent_at_ms
         self.gate.admission.replying(self.ticket)
+        self.gate.answer_read(response)
         if self._is_shed(response) or self._is_misdirected(response):
             return
         length = content_length(response.headers)
@@ -196,6 +197,7 @@
         """Tell the entry that the answer is whole."""
         self._connection = None
         if self._is_shed(self._response):
+            self.gate.upstream_shed(self.call.request, self._response)
             self._refuse_reached(RefusalReason.OVERLOAD, Result.SHED)
             return
         if self._is_misdirected(self._response):
--- a/cicadawheel/gate/decision.py
+++ b/cicadawheel/gate/decision.py
@@ -15,6 +15,16 @@
     REFUSE = "refuse"
 
 
+class Wish(msgspec.Struct, frozen=True):
+    """When an answer is worth most, 0 if that isn't known, and the rank, 0 first."""
+
+    target_at_ms: float = 0.0
+    priority: int = 0
+
+
+NO_WISH = Wish()
+
+
 class Decision(msgspec.Struct, frozen=True):
     """The verdict on one request; ``reason`` is set for a refusal."""
 
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -11,17 +11,22 @@
 from cicadawheel.configuration import Configuration
 from cicadawheel.gate.admission import Admission, AdmissionReport
 from cicadawheel.gate.call import CallState, GateCall
-from cicadawheel.gate.decision import Decision, Result, Verdict
+from cicadawheel.gate.decision import Decision, Result, Verdict, Wish
 from cicadawheel.gate.guard import CrashGuard
+from cicadawheel.gate.health import HealthReader, HealthReport, read_load
+from cicadawheel.gate.news import LoadNews
 from cicadawheel.gate.reports import ReportReader, ReportWatch
 from cicadawheel.gate.suspects import SuspectReport
+from cicadawheel.gate.told import ToldAdmission
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
+from cicadawheel.http.fields import ResponseHead, find_field
 from cicadawheel.http.upstream import UpstreamPool
 from cicadawheel.ids import (
     BootId,
     DataCentreName,
     Fingerprint,
     NodeId,
+    RequestId,
     UpstreamId,
 )
 from cicadawheel.logs import log_event
@@ -37,6 +42,7 @@
 log = logging.getLogger(__name__)
 
 TICK_INTERVAL_MS = 5.0
+TOLD = "told"
 
 ReplySink = Callable[[ReplyMessage], None]
 
@@ -80,7 +86,12 @@
         self.clock: Clock = timers.clock
         self.configuration = Configuration()
         self.announcement: Announcement | None = None
-        self.admission = Admission(settings)
+        self.admission = make_admission(settings)
+        self.listeners: set[Callable[[LoadReport], None]] = set()
+        self._news = LoadNews()
+        self._health: HealthReader | None = None
+        if settings.limit == TOLD:
+            self._health = HealthReader(dialect, self._take_health)
         self.pool = UpstreamPool(settings.connect_timeout_ms)
         self.guard = CrashGuard(
             node, self.pool, self.clock, self._upstream_died, self._refuse_waiting
@@ -108,7 +119,10 @@
         self.pool.retarget(address, announcement.connections)
         if before is None or before.boot != announcement.boot:
             self.admission.upstream_started(
-                announcement.boot, announcement.slots, self.clock.now_ms()
+                announcement.boot,
+                announcement.slots,
+                self.clock.now_ms(),
+                announcement.cold_ms,
             )
             log_event(
                 log,
@@ -183,10 +197,18 @@
         if refusal is not None:
             gate_call.refuse(refusal, not_run=True)
             return gate_call
+        target_ms = call.target_ms
+        wish = Wish(now_ms + target_ms if target_ms else 0.0, call.priority)
         decision = self.admission.offer(
-            ticket, gate_call.deadline_at_ms, now_ms, gate_call.kind, gate_call.alone
+            ticket,
+            gate_call.deadline_at_ms,
+            now_ms,
+            gate_call.kind,
+            gate_call.alone,
+            wish,
         )
         self._carry_out([decision])
+        self._tell_load()
         return gate_call
 
     def report_due(self, now_ms: float) -> bool:
@@ -194,12 +216,29 @@
         return self.announcement is not None and self.reports.watch.is_due(now_ms)
 
     def read_report(self, now_ms: float) -> None:
-        """Read the upstream's own report; it can only lower the trust in it."""
-        self.reports.read(self.announcement, now_ms, self._doubt)
+        """Read the upstream's own report.
+
+        It can only lower the trust in an upstream whose load is learnt from answers.
+        """
+        if self._health is None:
+            self.reports.read(self.announcement, now_ms, self._doubt)
+            return
+        self.reports.watch.reading(now_ms)
+        known = self.announcement
+        self._health.ask(Address(known.host, known.port), known.health_path, now_ms)
+
+    def answer_read(self, response: ResponseHead) -> None:
+        """Take the load that an answer of the upstream tells."""
+        load = read_load(response, self.dialect)
+        if load is not None:
+            self.admission.told_load(load)
+            self._tell_load()
 
     def close(self) -> None:
         """End the idle connections to the upstream."""
         self.reports.close()
+        if self._health is not None:
+            self._health.close()
         self.pool.close()
 
     def quarantine(self, fingerprints: frozenset[Fingerprint]) -> None:
@@ -226,6 +265,7 @@
         self._carry_out(
             self.admission.finish(call.ticket, result, now_ms, service_time_ms)
         )
+        self._tell_load()
 
     def _reason_to_refuse(self, call: CallOpen) -> RefusalReason | None:
         known = self.announcement
@@ -239,11 +279,45 @@
             return RefusalReason.WRONG_SERVICE
         return None
 
+    def upstream_shed(self, request: RequestId, response: ResponseHead) -> None:
+        """Take note that the upstream has refused a request that it had room for."""
+        log_event(
+            log,
+            "upstream_shed",
+            request=request,
+            status=response.status_code,
+            in_flight=self.admission.in_flight,
+            load=(find_field(response.headers, self.dialect.load) or b"").decode(),
+        )
+
     def upstream_is_another(self) -> None:
         """Admit nothing: another upstream has the address of the one announced."""
         log_event(log, "upstream_replaced", upstream=self.announcement.upstream)
         self._carry_out(self.admission.close(RefusalReason.NO_UPSTREAM))
 
+    def _take_health(self, report: HealthReport) -> None:
+        known = self.announcement
+        if report.upstream and known is not None and report.upstream != known.upstream:
+            if self.admission.closed_reason is None:
+                self.upstream_is_another()
+            return
+        now_ms = self.clock.now_ms()
+        if report.load is not None:
+            self.admission.told_load(report.load)
+        if report.cold_ms is not None:
+            self.admission.told_cold(report.cold_ms, now_ms)
+        self._carry_out(self.admission.tick(now_ms))
+        self._tell_load()
+
+    def _tell_load(self) -> None:
+        """Tell the entries of a load that isn't what they know."""
+        if not self.listeners:
+            return
+        load = self.load()
+        if self._news.is_news(load):
+            for listener in list(self.listeners):
+                listener(load)
+
     def _upstream_died(self) -> None:
         self.admission.restart_warm_up("upstream died", self.clock.now_ms())
 
@@ -255,6 +329,10 @@
 
     def _enforce(self) -> None:
         known = self.announcement
+        if known is not None:
+            rule = self.configuration.services.get(known.service)
+            if rule is not None:
+                self.admission.set_cold_limit(rule.cold_calls_per_s)
         if known is None or self.admission.leaving:
             return
         reason = None
@@ -301,8 +379,9 @@
         self._ticking = False
         if self._calls:
             self._tick_later()
-        self._log_restarts()
-        self._log_suspicions(now_ms)
+        if self._health is None:
+            self._log_restarts()
+            self._log_suspicions(now_ms)
         self.admission.check_late(now_ms)
         self._carry_out(self.admission.tick(now_ms))
 
@@ -315,3 +394,8 @@
                 call.admit()
             elif decision.verdict is Verdict.REFUSE:
                 call.refuse(decision.reason, not_run=True)
+
+
+def make_admission(settings: GateSettings) -> Admission | ToldAdmission:
+    """Return the admission that the settings name."""
+    return ToldAdmission() if settings.limit == TOLD else Admission(settings)
--- a/cicadawheel/gate/server.py
+++ b/cicadawheel/gate/server.py
@@ -19,6 +19,7 @@
     CrashNotice,
     Credit,
     End,
+    LoadReport,
     Probe,
     ProbeReply,
     ReplyMessage,
@@ -53,9 +54,13 @@
         self.gate = gate
         self.get_view = get_view
         self._calls: dict[StreamId, GateCall] = {}
+        self._stream: Stream | None = None
 
     def stream_opened(self, stream: Stream) -> None:
-        """Log the peer."""
+        """Tell the peer of the gate's load from now on."""
+        self._stream = stream
+        self.gate.listeners.add(self._tell_load)
+        stream.send(ProbeReply(StreamId(0), self.gate.load()))
         log_event(log, "peer_connected", peer=stream.peer)
 
     def message_received(self, stream: Stream, message: PeerMessage) -> None:
@@ -73,11 +78,16 @@
 
     def stream_closed(self, stream: Stream, error: PeerError | None) -> None:
         """Cancel the calls of a peer that has left: nobody takes the answers."""
+        self.gate.listeners.discard(self._tell_load)
         calls, self._calls = self._calls, {}
         for call in calls.values():
             call.receive(Cancel(call.stream, "peer lost"))
         log_event(log, "peer_disconnected", peer=stream.peer, calls=len(calls))
 
+    def _tell_load(self, load: LoadReport) -> None:
+        if self._stream.is_open():
+            self._stream.send(ProbeReply(StreamId(0), load))
+
     def _tell_view(self, stream: Stream, request: ViewRequest) -> None:
         view = self.get_view()
         if view.index > request.index:
--- a/cicadawheel/http/dialect.py
+++ b/cicadawheel/http/dialect.py
@@ -4,6 +4,8 @@
 from the folder that knows its names.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
 from cicadawheel.announcement import (
@@ -13,6 +15,7 @@
     HEADER_NOT_RUN,
     HEADER_REQUEST_ID,
     HEADER_SERVICE,
+    UpstreamLoad,
 )
 
 NO_FIELD = b""
@@ -45,6 +48,8 @@
     cold_ms: bytes = NO_FIELD
     upstream: bytes = NO_FIELD
     echoes: bool = False
+    decode_load: Callable[[bytes], UpstreamLoad | None] | None = None
+    """Reads the value of ``load``."""
     call_fields: frozenset[bytes] = frozenset(
         (HEADER_DEADLINE_MS, HEADER_DEPTH, HEADER_SERVICE)
     )
--- a/cicadawheel/messages.py
+++ b/cicadawheel/messages.py
@@ -28,6 +28,8 @@
 
     ``cold_share`` is the part of ``limit`` that a cold start allows for now,
     1.0 when the upstream is warm. ``boot`` changes when the upstream restarts.
+    ``slowness`` is how many times the usual its work takes at this moment, where the
+    upstream tells it; ``service_time_ms`` is then that at the usual speed.
     """
 
     in_flight: int
@@ -38,6 +40,7 @@
     leaving: bool
     boot: BootId
     revision: Revision
+    slowness: float = 1.0
 
 
 class Header(msgspec.Struct, array_like=True, frozen=True):
--- a/cicadawheel/platform/control.py
+++ b/cicadawheel/platform/control.py
@@ -82,6 +82,7 @@
         self.own = OperatorServer(daemon)
         self.orders = Orders(daemon.server)
         self.habits: ReleaseHabits = daemon.settings.control.habits()
+        self.measuring = daemon.settings.control.measuring()
         self.data_centres = daemon.settings.control.data_centres
         self._calls = {
             "config.put": self._put,
@@ -123,7 +124,7 @@
             document.canonical,
             document.services,
             document.routes,
-            document.configuration(self.data_centres),
+            document.configuration(self.data_centres, self.measuring),
         )
         return _answer(outcome)
 
--- a/cicadawheel/platform/document.py
+++ b/cicadawheel/platform/document.py
@@ -9,6 +9,7 @@
     Configuration,
     DataCentreRule,
     HostRoute,
+    MeasuringBudget,
     ReleaseHabits,
     RepeatRule,
     ServiceRule,
@@ -103,9 +104,12 @@
     routes: tuple[HostRoute, ...]
     callers: CallerLimits
 
-    def configuration(self, data_centres: tuple[DataCentreName, ...]) -> Configuration:
-        """Return the rules of the document for a deployment's data centres."""
+    def configuration(
+        self, data_centres: tuple[DataCentreName, ...], measuring: MeasuringBudget
+    ) -> Configuration:
+        """Return the rules of the document, with those that it leaves open."""
         return Configuration(
+            measuring=measuring,
             services={service.name: service for service in self.services},
             data_centres={name: DataCentreRule(name) for name in data_centres},
             routes={route.name: route for route in self.routes},
--- a/cicadawheel/platform/headers.py
+++ b/cicadawheel/platform/headers.py
@@ -8,23 +8,6 @@
 CALLER_SERVICE = b"caller-service"
 TARGET_INSTANCE = b"target-instance"
 
-PLATFORM_DIALECT = Dialect(
-    request_id=ATTEMPT_ID,
-    deadline_ms=TIMEOUT_MS,
-    depth=NO_FIELD,
-    service=NO_FIELD,
-    key=NO_FIELD,
-    not_run=b"not-executed",
-    caller_service=CALLER_SERVICE,
-    expected_upstream=TARGET_INSTANCE,
-    seal=b"server-seal",
-    load=b"backend-load",
-    cold_ms=b"cold-ms",
-    upstream=b"instance-id",
-    echoes=True,
-    call_fields=frozenset((TIMEOUT_MS, CALLER_SERVICE, TARGET_INSTANCE)),
-)
-
 USUAL_SLOWNESS = 100.0
 """The fourth figure of a load, in hundredths of the usual time for work."""
 
@@ -44,3 +27,22 @@
         queued=int(figures[1]),
         slowness=slowness,
     )
+
+
+PLATFORM_DIALECT = Dialect(
+    request_id=ATTEMPT_ID,
+    deadline_ms=TIMEOUT_MS,
+    depth=NO_FIELD,
+    service=NO_FIELD,
+    key=NO_FIELD,
+    not_run=b"not-executed",
+    caller_service=CALLER_SERVICE,
+    expected_upstream=TARGET_INSTANCE,
+    seal=b"server-seal",
+    load=b"backend-load",
+    cold_ms=b"cold-ms",
+    upstream=b"instance-id",
+    echoes=True,
+    decode_load=decode_load,
+    call_fields=frozenset((TIMEOUT_MS, CALLER_SERVICE, TARGET_INSTANCE)),
+)
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cicadawheel.configuration import ReleaseHabits
+from cicadawheel.configuration import MeasuringBudget, ReleaseHabits
 from cicadawheel.errors import SettingsError
 from cicadawheel.ids import DataCentreName, ReplicaId, ServiceName
 
@@ -85,7 +85,7 @@
     cold_share: Share = 0.2
     connect_timeout_ms: PositiveMs = 250.0
     body_buffer_bytes: Positive = 262_144
-    limit: Annotated[str, msgspec.Meta(pattern="^(fixed|aimd|gradient)$")] = "aimd"
+    limit: Annotated[str, msgspec.Meta(pattern="^(fixed|aimd|gradient|told)$")] = "aimd"
     jump_factor: Annotated[float, msgspec.Meta(gt=1)] = 4.0
     report_interval_ms: PositiveMs = 500.0
 
@@ -96,7 +96,8 @@
     policy: Annotated[
         str,
         msgspec.Meta(
-            pattern="^(two-choices|round-robin|random|least-reported|weighted-choices)$"
+            pattern="^(two-choices|round-robin|random|least-reported|weighted-choices|"
+            "soonest-answer)$"
         ),
     ] = "weighted-choices"
     choices: Positive = 3
@@ -127,11 +128,17 @@
     election_timeout_ms: PositiveMs
     heartbeat_ms: PositiveMs
     lease_ms: PositiveMs
+    probes_per_s: PositiveMs
+    probe_bytes_per_s: PositiveMs
     release_share: Annotated[float, msgspec.Meta(gt=0, le=0.5)]
     release_stage_ms: PositiveMs
     claim_window_s: Positive
     snapshot_entries: Positive
 
+    def measuring(self) -> MeasuringBudget:
+        """Return what a node may spend on measuring where no answers say so."""
+        return MeasuringBudget(self.probes_per_s, self.probe_bytes_per_s)
+
     def habits(self) -> ReleaseHabits:
         """Return how new versions are brought in where no answers say so."""
         return ReleaseHabits(
