--- /dev/null
+++ b/test/test_platform_formats.py
@@ -0,0 +1,210 @@
+"""What the platform says, decoded into the product's types."""
+
+import msgspec
+import pytest
+
+from cicadawheel.configuration import (
+    MeasuringBudget,
+    ReleaseHabits,
+    RepeatRule,
+    ServiceShare,
+)
+from cicadawheel.errors import SettingsError
+from cicadawheel.platform.beats import decode_beat, decode_leave
+from cicadawheel.platform.document import decode_document
+from cicadawheel.platform.headers import decode_load
+from cicadawheel.platform.settings import load_platform_settings
+from cicadawheel.settings import Address
+
+HABITS = ReleaseHabits()
+SERVICE = {
+    "name": "huvo11a",
+    "health_path": "/health",
+    "max_connections": 220,
+    "protocol": "h1",
+    "cold_start_s": 3.0,
+    "cold_per_s": 6.4,
+}
+PATH = {
+    "name": "r-1",
+    "path_prefix": "/pufi791/",
+    "route_type": "non_idempotent",
+    "timeout_s": 1.5,
+    "target_latency_s": 0.5,
+    "priority": 1,
+    "service": "huvo11a",
+    "max_attempts": 2,
+}
+BEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining_s": 1.5,
+    "sequence": 4,
+    "born": 1_786_531_218_000,
+}
+
+
+def make_document(path=PATH, **fields):
+    body = {
+        "version": 7,
+        "base_version": 5,
+        "services": [SERVICE],
+        "limits": {"max_header_bytes": 16384, "idle_timeout_s": 15},
+        "virtual_hosts": [{"host": "Ficu95.example", "paths": [path]}],
+    }
+    return msgspec.json.encode({**body, **fields})
+
+
+def test_document_becomes_rules():
+    document = decode_document(make_document(), HABITS)
+    rules = document.configuration(("north",), MeasuringBudget())
+    route = rules.routes["ficu95.example/pufi791/"]
+    assert (document.version, document.base_version) == (7, 5)
+    assert route.repeat is RepeatRule.ONCE
+    assert (route.deadline_ms, route.target_ms) == (1_500.0, 500.0)
+    assert (route.attempts, route.priority) == (2, 1)
+    service = rules.services["huvo11a"]
+    assert (service.connections, service.cold_ms) == (220, 3_000.0)
+    assert service.cold_calls_per_s == 6.4
+    assert (rules.callers.head_bytes, rules.callers.idle_timeout_ms) == (16384, 15e3)
+    assert list(rules.data_centres) == ["north"]
+
+
+def test_weighted_route_has_its_shares():
+    shares = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    path = {**PATH, "weighted_clusters": shares}
+    del path["service"]
+    document = decode_document(make_document(path), HABITS)
+    assert document.routes[0].shares == (ServiceShare("a", 90), ServiceShare("b", 10))
+
+
+def test_same_content_has_the_same_canonical_form():
+    body = make_document()
+    shuffled = msgspec.json.encode(dict(reversed(msgspec.json.decode(body).items())))
+    assert shuffled != body
+    first, second = (decode_document(text, HABITS) for text in (body, shuffled))
+    assert first.canonical == second.canonical
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        make_document()[:-20],
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        make_document(version="seven"),
+        make_document({**PATH, "route_type": "sometimes"}),
+        make_document({**PATH, "timeout_s": None}),
+        make_document({k: v for k, v in PATH.items() if k != "max_attempts"}),
+    ],
+)
+def test_document_that_cannot_be_read(body):
+    with pytest.raises(ValueError, match=r".+"):
+        decode_document(body, HABITS)
+
+
+def test_beat_becomes_an_announcement():
+    beat = decode_beat("i-1", msgspec.json.encode(BEAT))
+    assert (beat.upstream, beat.number, beat.leaving) == ("i-1", 4, False)
+    assert beat.address == Address("10.128.0.9", 8080)
+    rule = decode_document(make_document(), HABITS).services[0]
+    told = beat.announcement(rule)
+    assert (told.boot, told.slots, told.connections) == ("1786531218000", 6, 220)
+    assert (told.cold_ms, told.health_path) == (1_500.0, "/health")
+
+
+def test_draining_beat_leaves():
+    body = msgspec.json.encode({**BEAT, "state": "draining"})
+    assert decode_beat("i-1", body).leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": "six"},
+        {"slots": 0},
+        {"state": "resting"},
+        {"address": "nowhere"},
+        {"address": 8080},
+        {"service": None},
+        {"sequence": None},
+        {"born": "yesterday"},
+    ],
+)
+def test_beat_of_another_writer_is_refused(change):
+    with pytest.raises(ValueError, match=r".+"):
+        decode_beat("i-1", msgspec.json.encode({**BEAT, **change}))
+
+
+@pytest.mark.parametrize(
+    ("body", "boot"), [(b"", ""), (b"{}", ""), (b'{"born":17,"why":1}', "17")]
+)
+def test_leave_names_a_start_if_it_can(body, boot):
+    assert decode_leave(body) == boot
+
+
+def test_leave_that_cannot_be_read():
+    with pytest.raises(ValueError, match=r".+"):
+        decode_leave(b"no json")
+
+
+@pytest.mark.parametrize(
+    ("value", "figures"),
+    [
+        (b"3,0,8", (3, 0, 8, 1.0)),
+        (b"9,2,9,700", (9, 2, 9, 7.0)),
+        (b"9, 2, 9, 50", (9, 2, 9, 0.5)),
+    ],
+)
+def test_load_of_a_header(value, figures):
+    load = decode_load(value)
+    assert (load.in_flight, load.queued, load.slots, load.slowness) == figures
+
+
+@pytest.mark.parametrize("value", [b"", b"3", b"a,b,c", b"3,0"])
+def test_load_that_cannot_be_read(value):
+    assert decode_load(value) is None
+
+
+SETTINGS = """
+[process]
+name = n1
+data_centre = north
+key = a key of sixteen characters
+[node]
+caller_address = 10.0.0.1:1
+peer_address = 10.0.0.1:2
+admin_address = 10.0.0.1:3
+control_addresses = 10.0.0.9:8144, 10.0.0.8:8144
+control_port = 7380
+[bounds]
+grace_s = 6
+budget_slack = 56
+retry_budget_ratio = 0.2
+budget_window_s = 10
+exposure_share = 0.1
+never_heard_of = true
+"""
+
+
+def test_bounds_become_settings_of_our_own(tmp_path):
+    path = tmp_path / "node.ini"
+    path.write_text(SETTINGS)
+    settings = load_platform_settings(path)
+    assert settings.node.drain_timeout_ms < 6_000
+    assert (settings.entry.retry_share, settings.entry.retry_slack) == (0.2, 56.0)
+    assert settings.entry.retry_window_ms == 10_000.0
+    assert settings.control.release_share == 0.1
+    assert settings.node.control_streams()[0] == Address("10.0.0.9", 7380)
+
+
+def test_file_that_is_no_ini_is_refused(tmp_path):
+    path = tmp_path / "node.ini"
+    path.write_text("node_name: x\n- y\n")
+    with pytest.raises(SettingsError, match="can't be read"):
+        load_platform_settings(path)
--- /dev/null
+++ b/test/test_routes.py
@@ -0,0 +1,146 @@
+"""Routes by host and longest prefix, and the split of their requests."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from cicadawheel.configuration import (
+    Configuration,
+    HostRoute,
+    RepeatRule,
+    ServiceRule,
+    ServiceShare,
+)
+from cicadawheel.configuration_check import check_rules
+from cicadawheel.entry.answer import CallerFault
+from cicadawheel.entry.plan import plan_by_host
+from cicadawheel.entry.routes import RouteTable
+from cicadawheel.errors import CommandRefusedError
+from cicadawheel.http.dialect import OWN_DIALECT
+from cicadawheel.http.fields import RequestHead
+
+
+def make_route(host, prefix, shares=(("a", 1.0),), **fields):
+    values = {
+        "name": host + prefix,
+        "host": host,
+        "path_prefix": prefix,
+        "repeat": RepeatRule.REPEATABLE,
+        "shares": tuple(ServiceShare(name, weight) for name, weight in shares),
+        "deadline_ms": 1_000.0,
+        "target_ms": 500.0,
+        "priority": 1,
+        "attempts": 2,
+    }
+    return HostRoute(**{**values, **fields})
+
+
+def make_table(*routes, seed=1):
+    table = RouteTable(Random(seed))
+    table.configure(Configuration(routes={route.name: route for route in routes}))
+    return table
+
+
+@pytest.fixture
+def table():
+    return make_table(
+        make_route("one.example", "/x/"),
+        make_route("one.example", "/x/y/"),
+        make_route("two.example", "/"),
+    )
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "name"),
+    [
+        ("one.example", "/x/1", "one.example/x/"),
+        ("one.example", "/x/y/1?q=/x/", "one.example/x/y/"),
+        ("ONE.example:80", "/x/yy", "one.example/x/"),
+        ("two.example", "/x/y/1", "two.example/"),
+    ],
+)
+def test_longest_prefix_of_the_host_is_taken(table, host, target, name):
+    assert table.find(host, target).name == name
+
+
+@pytest.mark.parametrize(
+    ("host", "target"), [("one.example", "/x"), ("three.example", "/x/"), ("", "/x/")]
+)
+def test_no_route(table, host, target):
+    assert table.find(host, target) is None
+
+
+def test_split_keeps_the_weights_in_any_few_requests():
+    route = make_route("h", "/", [("a", 90.0), ("b", 10.0)])
+    table = make_table(route)
+    services = [table.choose_service(route) for _ in range(200)]
+    for start in range(0, 180, 20):
+        assert Counter(services[start : start + 20])["b"] == 2
+
+
+def test_service_of_no_weight_gets_nothing():
+    route = make_route("h", "/", [("a", 1.0), ("b", 0.0)])
+    table = make_table(route)
+    assert {table.choose_service(route) for _ in range(50)} == {"a"}
+
+
+def test_split_goes_on_over_a_change_of_other_routes():
+    route = make_route("h", "/", [("a", 1.0), ("b", 1.0)])
+    table = make_table(route)
+    first = table.choose_service(route)
+    changed = Configuration(routes={"h/": route, "g/": make_route("g", "/")})
+    table.configure(changed)
+    assert table.choose_service(route) != first
+
+
+def make_plan(table, **fields):
+    headers = [(b"host", b"one.example"), *fields.items()]
+    headers = [(n if isinstance(n, bytes) else n.encode(), v) for n, v in headers]
+    return plan_by_host(RequestHead(b"GET", b"/x/1", headers), table, OWN_DIALECT)
+
+
+def test_plan_takes_the_shorter_of_both_deadlines(table):
+    assert make_plan(table).deadline_ms == 1_000.0
+    asked = {"cicadawheel-deadline-ms": b"300"}
+    assert make_plan(table, **asked).deadline_ms == 300.0
+    asked = {"cicadawheel-deadline-ms": b"5000"}
+    assert make_plan(table, **asked).deadline_ms == 1_000.0
+
+
+def test_plan_needs_no_key(table):
+    plan = make_plan(table)
+    assert (plan.claimed, plan.attempts, plan.priority) == (False, 2, 1)
+
+
+def test_plan_of_an_unknown_host():
+    assert make_plan(make_table()) is CallerFault.NO_ROUTE
+
+
+SERVICES = (ServiceRule("a", 0.0), ServiceRule("b", 0.0))
+
+
+def test_sound_rules_pass():
+    check_rules(SERVICES, [make_route("h", "/", [("a", 9.0), ("b", 0.0)])])
+
+
+@pytest.mark.parametrize(
+    ("fields", "fault"),
+    [
+        ({"shares": (("c", 1.0),)}, "service c is unknown"),
+        ({"shares": (("a", 0.0), ("b", 0.0))}, "weights"),
+        ({"shares": (("a", -1.0), ("b", 2.0))}, "weights"),
+        ({"deadline_ms": 0.0}, "deadline"),
+        ({"deadline_ms": 600_001.0}, "deadline"),
+        ({"target_ms": 61_000.0}, "target"),
+        ({"attempts": 0}, "attempt"),
+    ],
+)
+def test_rules_that_contradict_are_refused(fields, fault):
+    with pytest.raises(CommandRefusedError, match=fault):
+        check_rules(SERVICES, [make_route("h", "/", **fields)])
+
+
+def test_two_routes_of_one_place_are_refused():
+    with pytest.raises(CommandRefusedError, match="twice"):
+        check_rules(SERVICES, [make_route("h", "/"), make_route("h", "/")])
--- /dev/null
+++ b/test/test_told_admission.py
@@ -0,0 +1,130 @@
+"""Admission to an upstream that tells its load."""
+
+import pytest
+
+from cicadawheel.announcement import UpstreamLoad
+from cicadawheel.gate.decision import Result, Verdict, Wish
+from cicadawheel.gate.told import ToldAdmission
+from cicadawheel.messages import RefusalReason
+
+SLOTS = 4
+FAR_MS = 100_000.0
+
+
+@pytest.fixture
+def admission():
+    made = ToldAdmission()
+    made.upstream_started("1", SLOTS, 0.0)
+    return made
+
+
+def fill(admission, now_ms=0.0):
+    for ticket in range(1_000, 1_000 + SLOTS):
+        assert admission.offer(ticket, FAR_MS, now_ms).verdict is Verdict.ADMIT
+
+
+def slow(admission, slowness):
+    admission.told_load(UpstreamLoad(SLOTS, SLOTS, slowness=slowness))
+
+
+def test_no_more_than_the_slots_are_admitted(admission):
+    fill(admission)
+    assert admission.offer(1, FAR_MS, 0.0).verdict is Verdict.WAIT
+    admitted = admission.finish(1_000, Result.ANSWERED, 50.0, 50.0)
+    assert [(one.ticket, one.verdict) for one in admitted] == [(1, Verdict.ADMIT)]
+
+
+def test_urgent_requests_go_first_and_those_past_their_target_last(admission):
+    fill(admission)
+    admission.offer(1, FAR_MS, 0.0, wish=Wish(50_000.0, 2))
+    admission.offer(2, FAR_MS, 0.0, wish=Wish(50.0, 1))
+    admission.offer(3, FAR_MS + 1, 0.0, wish=Wish(50_000.0, 1))
+    order = []
+    for ticket in range(1_000, 1_003):
+        order += admission.finish(ticket, Result.ANSWERED, 200.0, 90.0)
+    assert [decision.ticket for decision in order] == [3, 2, 1]
+
+
+def test_request_that_cannot_be_answered_in_time_is_refused_at_once(admission):
+    fill(admission)
+    decision = admission.offer(1, 110.0, 0.0)
+    assert decision.reason is RefusalReason.QUEUE_DEADLINE
+
+
+def test_waiting_request_is_refused_once_it_is_hopeless(admission):
+    fill(admission)
+    assert admission.offer(1, 400.0, 0.0).verdict is Verdict.WAIT
+    assert admission.tick(200.0) == []
+    decisions = admission.tick(310.0)
+    assert [one.reason for one in decisions] == [RefusalReason.QUEUE_DEADLINE]
+
+
+def test_what_waits_moves_on_when_the_upstream_slows_down(admission):
+    fill(admission)
+    admission.offer(1, FAR_MS, 0.0)
+    slow(admission, 7.0)
+    decisions = admission.tick(10.0)
+    assert [one.reason for one in decisions] == [RefusalReason.OVERLOAD]
+
+
+def test_what_came_to_a_slow_upstream_is_not_passed_on(admission):
+    fill(admission)
+    slow(admission, 7.0)
+    admission.offer(1, FAR_MS, 0.0)
+    assert admission.tick(10.0) == []
+
+
+def test_cold_upstream_gets_what_it_bears_in_any_second(admission):
+    admission.upstream_started("2", SLOTS, 0.0, cold_ms=3_000.0)
+    admission.set_cold_limit(6.4)
+    admitted_at_ms = []
+    for ticket, now_ms in enumerate(range(0, 3_000, 10)):
+        decisions = [admission.offer(ticket, FAR_MS, float(now_ms))]
+        decisions += admission.tick(float(now_ms))
+        for decision in decisions:
+            if decision.verdict is Verdict.ADMIT:
+                admitted_at_ms.append(now_ms)
+                admission.finish(decision.ticket, Result.ANSWERED, now_ms, 1.0)
+    for at_ms in admitted_at_ms:
+        second = [one for one in admitted_at_ms if at_ms <= one < at_ms + 1_000]
+        assert len(second) <= 6
+    assert len(admitted_at_ms) >= 17
+
+
+def test_upstream_that_says_it_is_warm_gets_its_slots(admission):
+    admission.upstream_started("2", SLOTS, 0.0, cold_ms=3_000.0)
+    admission.set_cold_limit(1.0)
+    admission.told_cold(0.0, 10.0)
+    fill(admission, 10.0)
+
+
+def test_cold_start_without_notice_holds_the_load_down(admission):
+    admission.set_cold_limit(2.0)
+    admission.told_cold(2_000.0, 0.0)
+    verdicts = [admission.offer(ticket, 900.0, 0.0).verdict for ticket in range(4)]
+    assert verdicts.count(Verdict.ADMIT) == 2
+
+
+def test_closed_gate_refuses_what_waits(admission):
+    fill(admission)
+    admission.offer(1, FAR_MS, 0.0)
+    decisions = admission.close(RefusalReason.LEAVING)
+    assert [one.ticket for one in decisions] == [1]
+    assert admission.offer(2, FAR_MS, 0.0).reason is RefusalReason.LEAVING
+
+
+def test_load_tells_slowness_and_what_waits(admission):
+    fill(admission)
+    admission.offer(1, FAR_MS, 0.0)
+    slow(admission, 7.0)
+    load = admission.load(3, 0.0)
+    assert (load.in_flight, load.queued, load.limit) == (SLOTS, 1, SLOTS)
+    assert load.slowness == 7.0
+
+
+def test_slow_answers_do_not_change_the_usual_time(admission):
+    before_ms = admission.work_ms
+    fill(admission)
+    slow(admission, 7.0)
+    admission.finish(1_000, Result.ANSWERED, 700.0, 700.0)
+    assert admission.work_ms == before_ms
