SIGHUP reloads the settings of every process, and a full disk is waited out

Change: every daemon gets its settings again at SIGHUP and when their file changes; a replica whose disk is full waits in the process and begins anew. Seen: tests of storage, folders and processes pass.

--- a/cicadawheel/control/daemon.py
+++ b/cicadawheel/control/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -21,13 +22,13 @@
 from cicadawheel.control.state import make_control_state
 from cicadawheel.control.state.quarantine import Quarantined
 from cicadawheel.control.status import describe_control
-from cicadawheel.errors import ReplicaRemovedError
+from cicadawheel.errors import ReplicaRemovedError, StorageFullError
 from cicadawheel.http.exchange import Handler, serve_http
 from cicadawheel.ids import LogIndex, ReplicaId
 from cicadawheel.logs import log_event
 from cicadawheel.operator import ControlStatus
 from cicadawheel.process import run_daemon
-from cicadawheel.settings import Settings
+from cicadawheel.settings import Settings, SettingsFile
 from cicadawheel.supervisor import ChildReport, Supervisor, run_until_stopped
 from cicadawheel.timer import MS_PER_S, TimerService
 from cicadawheel.wire.stream import Identity, serve_streams
@@ -35,6 +36,8 @@
 log = logging.getLogger(__name__)
 
 MS_PER_S_INT = int(MS_PER_S)
+# How long a replica waits before it tries a full disk again.
+DISK_FULL_PAUSE_S = 0.5
 
 _decoder = msgspec.msgpack.Decoder(NodeToControl)
 
@@ -112,6 +115,11 @@
             tasks=self.supervisor.report(),
         )
 
+    def reload(self, settings: Settings) -> None:
+        """Look for the others at other seeds from now on."""
+        if self.durable_log is not None:
+            self.durable_log.use_seeds(settings.control.seeds)
+
     def show_metrics(self) -> None:
         """Bring the gauges up to date."""
         own = None if self.durable_log is None else self.durable_log.status()
@@ -173,17 +181,26 @@
 
 
 def run_control(
-    settings: Settings, make_handler: MakeHandler = make_operator_handler
+    settings: Settings,
+    make_handler: MakeHandler = make_operator_handler,
+    file: SettingsFile | None = None,
 ) -> int:
     """Run a control replica until it is told to stop, and return the exit code.
 
     ``make_handler`` returns what answers at the operators' address. A replica that
-    was removed from the deployment while it was away begins anew.
+    was removed from the deployment while it was away begins anew, and one whose disk
+    is full waits until there is room.
     """
+    make_daemon = partial(ControlDaemon, make_handler=make_handler)
+    replica = settings.replica
     while True:
-        named = name_replica(settings)
         try:
-            return run_daemon(named, partial(ControlDaemon, make_handler=make_handler))
+            named = name_replica(settings)
+            replica = named.replica
+            return run_daemon(named, make_daemon, file)
         except ReplicaRemovedError as error:
-            log_event(log, "replica_begins_anew", replica=named.replica, reason=error)
-            clear_folder(named)
+            log_event(log, "replica_begins_anew", replica=replica, reason=error)
+            clear_folder(settings)
+        except StorageFullError as error:
+            log_event(log, "disk_full", replica=replica, reason=error)
+            time.sleep(DISK_FULL_PAUSE_S)
--- a/cicadawheel/control/replica/runner.py
+++ b/cicadawheel/control/replica/runner.py
@@ -86,6 +86,7 @@
     ):
         self.replica = settings.replica
         self.control: ControlSettings = settings.control
+        self.seeds = settings.control.seeds
         self.machine = machine
         self.timers = timers
         self.random = random
@@ -231,8 +232,8 @@
     async def _find_others(self) -> None:
         """Look for the others at the seeds until this replica is one of them."""
         own = self.control.replica_address
-        seeds = {Address(seed.host, own.port) for seed in self.control.seeds}
         while True:
+            seeds = {Address(seed.host, own.port) for seed in self.seeds}
             raft = None if self.engine is None else self.engine.raft
             alone = raft is not None and raft.membership.find(self.replica) is None
             self.network.set_contacts(seeds - {own} if alone else set())
--- a/cicadawheel/control/replication.py
+++ b/cicadawheel/control/replication.py
@@ -181,6 +181,10 @@
         """
         await self._requests.request(RemoveReplica(replica), MEMBERSHIP_TIMEOUT_MS)
 
+    def use_seeds(self, seeds: tuple[Address, ...]) -> None:
+        """Look for the others at these seeds while this replica is no member."""
+        self._runner.seeds = seeds
+
     def hosts(self) -> tuple[str, ...]:
         """Return the hosts of all replicas in the newest membership."""
         engine = self._runner.engine
--- a/cicadawheel/control/storage/files.py
+++ b/cicadawheel/control/storage/files.py
@@ -1,13 +1,15 @@
 """Files of one folder, each step by itself, so that tests can fail any of them."""
 
+import errno
 import fcntl
 import os
 from pathlib import Path
 from typing import Protocol
 
-from cicadawheel.errors import StorageError
+from cicadawheel.errors import StorageError, StorageFullError
 
 LOCK_NAME = "lock"
+FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 
 class Files(Protocol):
@@ -66,7 +68,8 @@
             self._lock = os.open(self._path / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
             os.fsync(self._folder)
         except OSError as error:
-            raise StorageError(
+            kind = StorageFullError if error.errno in FULL_ERRORS else StorageError
+            raise kind(
                 f"data folder can't be opened: {error.strerror}",
                 step="open",
                 peer=folder,
--- a/cicadawheel/control/storage/store.py
+++ b/cicadawheel/control/storage/store.py
@@ -10,11 +10,11 @@
     WriteBatch,
 )
 from cicadawheel.control.raft.membership import Membership
-from cicadawheel.control.storage.files import Files
+from cicadawheel.control.storage.files import FULL_ERRORS, Files
 from cicadawheel.control.storage.identity import Identity
 from cicadawheel.control.storage.segment import Segments
 from cicadawheel.control.storage.value import FRESH_SUFFIX, read_value, write_value
-from cicadawheel.errors import StorageError
+from cicadawheel.errors import StorageError, StorageFullError
 
 IDENTITY_NAME = "identity"
 VOTE_NAME = "vote"
@@ -101,7 +101,8 @@
         try:
             return action()
         except OSError as error:
-            self.failure = StorageError(
+            kind = StorageFullError if error.errno in FULL_ERRORS else StorageError
+            self.failure = kind(
                 f"data folder can't be used: {error.strerror or error}; the replica "
                 f"stops; free or replace the disk and start it again",
                 step=step,
--- a/cicadawheel/errors.py
+++ b/cicadawheel/errors.py
@@ -68,6 +68,10 @@
     is_final = True
 
 
+class StorageFullError(StorageError):
+    """The disk of the data folder has no room; it may have some later."""
+
+
 class ReplicaRemovedError(StorageError):
     """The replica is no member any more; its folder is of no use."""
 
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import secrets
-import signal
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -19,7 +18,6 @@
 from cicadawheel.entry.peers import PeerLinks
 from cicadawheel.entry.probing import REPORT_COST_BYTES
 from cicadawheel.entry.router import Router
-from cicadawheel.errors import SettingsError
 from cicadawheel.gate.gate import Gate, GateReport
 from cicadawheel.gate.server import serve_peers
 from cicadawheel.http import caller
@@ -45,7 +43,7 @@
 from cicadawheel.node.view import NodeView
 from cicadawheel.process import run_daemon
 from cicadawheel.release.node import NodeReleases
-from cicadawheel.settings import Address, Settings
+from cicadawheel.settings import Address, Settings, SettingsFile
 from cicadawheel.supervisor import ChildReport, Supervisor, run_until_stopped
 from cicadawheel.timer import MS_PER_S, TimerService
 from cicadawheel.wire.stream import Identity
@@ -95,8 +93,6 @@
         The header fields that callers and upstreams use.
     make_handler : callable
         Returns what answers at the admin address.
-    reload : callable, optional
-        Reads the settings again.
     """
 
     def __init__(
@@ -105,11 +101,9 @@
         timers: TimerService,
         dialect: Dialect = OWN_DIALECT,
         make_handler: MakeHandler = make_admin_handler,
-        reload: Callable[[], Settings] | None = None,
     ):
         self.settings = settings
         self._make_handler = make_handler
-        self._reload = reload
         self.clock = timers.clock
         self.node = NodeId(settings.process.name)
         self.boot = BootId(secrets.token_hex(BOOT_ID_BYTES))
@@ -193,21 +187,11 @@
         """Return whether this node can serve callers."""
         return bool(self.control.view.configuration.revision) and not self.draining
 
-    def reload(self) -> None:
-        """Read the settings again, and use what may change while the node runs."""
-        if self._reload is None:
-            return
-        try:
-            settings = self._reload()
-        except SettingsError as error:
-            log_event(log, "settings_refused", reason=error)
-            return
-        if settings == self.settings:
-            return
+    def reload(self, settings: Settings) -> None:
+        """Use what may change in the settings while the node runs."""
         self.settings = settings
         self.control.use_seeds(settings.node.control_streams())
         self.entry.caller_service = settings.node.service
-        log_event(log, "settings_reloaded", service=settings.node.service)
 
     def upstream_leaves(self, leave: Leave) -> bool:
         """Send the upstream nothing new; return whether it is the one here."""
@@ -286,8 +270,6 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then finish what is in flight."""
         servers = await self._open_servers()
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.supervisor.add("control", self.control.run)
         log_event(log, "node_started", address=self.settings.node.caller_address)
         await run_until_stopped(stop, self.supervisor, partial(self._drain, servers))
@@ -391,8 +373,8 @@
     settings: Settings,
     dialect: Dialect = OWN_DIALECT,
     make_handler: MakeHandler = make_admin_handler,
-    reload: Callable[[], Settings] | None = None,
+    file: SettingsFile | None = None,
 ) -> int:
     """Run a node until it is told to stop, and return the exit code."""
-    make_node = partial(Node, dialect=dialect, make_handler=make_handler, reload=reload)
-    return run_daemon(settings, make_node)
+    make_node = partial(Node, dialect=dialect, make_handler=make_handler)
+    return run_daemon(settings, make_node, file)
--- a/cicadawheel/platform/__main__.py
+++ b/cicadawheel/platform/__main__.py
@@ -2,11 +2,11 @@
 
 import os
 import sys
-from functools import partial
 from pathlib import Path
 
 from cicadawheel.errors import CicadawheelError
 from cicadawheel.platform.settings import load_platform_settings
+from cicadawheel.settings import SettingsFile
 
 SETTINGS_VARIABLE = "CICADAWHEEL_SETTINGS"
 EXIT_REFUSED = 1
@@ -16,19 +16,19 @@
 def main(words: list[str]) -> int:
     """Run the process that the first word names, and return the exit code."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    load = partial(load_platform_settings, path)
+    file = SettingsFile(path, load_platform_settings)
     try:
         if words == ["node"]:
             from cicadawheel.node import run_node
             from cicadawheel.platform import node
             from cicadawheel.platform.headers import PLATFORM_DIALECT
 
-            return run_node(load(), PLATFORM_DIALECT, node.make_handler, load)
+            return run_node(file.load(), PLATFORM_DIALECT, node.make_handler, file)
         if words == ["control"]:
             from cicadawheel.control.daemon import run_control
             from cicadawheel.platform import control
 
-            return run_control(load(), control.make_handler)
+            return run_control(file.load(), control.make_handler, file)
     except CicadawheelError as error:
         print(f"cicadawheel: {error}", file=sys.stderr)
         return EXIT_REFUSED
--- a/cicadawheel/process.py
+++ b/cicadawheel/process.py
@@ -1,15 +1,21 @@
 """Runs a daemon as a process until it is told to stop."""
 
 import asyncio
+import logging
 import signal
 from collections.abc import Callable
 from typing import Protocol
 
-from cicadawheel.logs import configure_logs
-from cicadawheel.settings import Settings
+from cicadawheel.errors import SettingsError
+from cicadawheel.logs import configure_logs, log_event
+from cicadawheel.settings import Settings, SettingsFile
 from cicadawheel.timer import TimerService, make_timer_service
 
+log = logging.getLogger(__name__)
+
 EXIT_STOPPED = 0
+# How often it is looked whether the settings file has changed without a signal.
+SETTINGS_CHECK_MS = 1_000.0
 
 
 class Daemon(Protocol):
@@ -18,20 +24,55 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, and finish what is in flight."""
 
+    def reload(self, settings: Settings) -> None:
+        """Use what may change in the settings while the process runs."""
+
 
 MakeDaemon = Callable[[Settings, TimerService], Daemon]
 
 
-def run_daemon(settings: Settings, make_daemon: MakeDaemon) -> int:
-    """Run a daemon until SIGTERM or SIGINT, and return the exit code."""
+def run_daemon(
+    settings: Settings, make_daemon: MakeDaemon, file: SettingsFile | None = None
+) -> int:
+    """Run a daemon until SIGTERM or SIGINT, and return the exit code.
+
+    At SIGHUP, and when the file has changed, it gets the settings again.
+    """
     configure_logs(settings.process.name, settings.process.log_level)
-    asyncio.run(_run(settings, make_daemon))
+    asyncio.run(_run(settings, make_daemon, file))
     return EXIT_STOPPED
 
 
-async def _run(settings: Settings, make_daemon: MakeDaemon) -> None:
+async def _run(
+    settings: Settings, make_daemon: MakeDaemon, file: SettingsFile | None
+) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    await make_daemon(settings, make_timer_service()).run(stop)
+    timers = make_timer_service()
+    daemon = make_daemon(settings, timers)
+
+    def reload() -> None:
+        _reload(daemon, file)
+
+    def check(now_ms: float) -> None:
+        if file is not None and file.has_changed():
+            _reload(daemon, file)
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    timers.every(SETTINGS_CHECK_MS, check)
+    await daemon.run(stop)
+
+
+def _reload(daemon: Daemon, file: SettingsFile | None) -> None:
+    if file is None:
+        log_event(log, "settings_kept", reason="they are read once")
+        return
+    try:
+        settings = file.load()
+    except SettingsError as error:
+        log_event(log, "settings_refused", reason=error)
+        return
+    log_event(log, "settings_reloaded", path=file.path)
+    daemon.reload(settings)
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -1,6 +1,8 @@
 """Settings of a process: INI files, checked and turned into typed objects."""
 
 import configparser
+import os
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Any, get_type_hints
 
@@ -166,6 +168,46 @@
         return self.control.replica or ReplicaId(self.process.name)
 
 
+class SettingsFile:
+    """The settings file of a process, which may change while the process runs.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+    read : callable
+        Reads its settings.
+    """
+
+    def __init__(self, path: Path, read: Callable[[Path], Settings]):
+        self.path = path
+        self._read = read
+        self._seen = self._mark()
+
+    def load(self) -> Settings:
+        """Return the settings that it holds now.
+
+        Raises
+        ------
+        SettingsError
+            It can't be read, or holds what can't be used.
+        """
+        self._seen = self._mark()
+        return self._read(self.path)
+
+    def has_changed(self) -> bool:
+        """Return whether it was written since it was read last."""
+        return self._mark() != self._seen
+
+    def _mark(self) -> tuple[int, int]:
+        try:
+            found = os.stat(self.path)
+        except OSError:
+            # Whoever replaces it may be between two steps.
+            return self._seen if hasattr(self, "_seen") else (0, 0)
+        return found.st_mtime_ns, found.st_size
+
+
 def load_settings(path: Path) -> Settings:
     """Return the settings of a file, on top of the defaults.
 
--- a/cicadawheel/ui/processes.py
+++ b/cicadawheel/ui/processes.py
@@ -4,7 +4,7 @@
 
 from cleo.helpers import argument
 
-from cicadawheel.settings import load_settings
+from cicadawheel.settings import SettingsFile, load_settings
 from cicadawheel.ui.base import BaseCommand
 
 SETTINGS_ARGUMENT = argument("settings", "The settings file of the process.")
@@ -19,10 +19,11 @@
 
     def handle(self) -> int:
         """Run the node until it is stopped."""
-        settings = load_settings(Path(self.argument("settings")))
+        file = SettingsFile(Path(self.argument("settings")), load_settings)
+        settings = file.load()
         from cicadawheel.node import run_node
 
-        return run_node(settings)
+        return run_node(settings, file=file)
 
 
 class ControlProcessCommand(BaseCommand):
@@ -34,10 +35,11 @@
 
     def handle(self) -> int:
         """Run the replica until it is stopped."""
-        settings = load_settings(Path(self.argument("settings")))
+        file = SettingsFile(Path(self.argument("settings")), load_settings)
+        settings = file.load()
         from cicadawheel.control.daemon import run_control
 
-        return run_control(settings)
+        return run_control(settings, file=file)
 
 
 class SettingsCheckCommand(BaseCommand):
