--- a/test/raft_shuttle.py
+++ b/test/raft_shuttle.py
@@ -21,7 +21,8 @@
 class Shuttle:
     """Replicas whose disks are `SavedState` values."""
 
-    def __init__(self, *names, seed=1):
+    def __init__(self, *names, seed=1, options=OPTIONS):
+        self.options = options
         self.random = random.Random(seed)
         self.now_ms = 0.0
         self.saved = {name: SavedState(bootstrap=members(*names)) for name in names}
@@ -39,7 +40,9 @@
         saved = self.saved.setdefault(name, SavedState())
         self.writes.pop(name, None)
         self.applied[name] = [saved.snapshot.data] if saved.snapshot else []
-        self.rafts[name] = make_raft(name, saved, OPTIONS, self.random, self.now_ms)
+        self.rafts[name] = make_raft(
+            name, saved, self.options, self.random, self.now_ms
+        )
 
     def stop(self, name):
         del self.rafts[name]
--- /dev/null
+++ b/test/test_assembly.py
@@ -0,0 +1,193 @@
+"""Replicas that are told three addresses find each other, and heal by themselves."""
+
+import asyncio
+
+import pytest
+from replicas import Replica, command
+
+from bench.ports import free_port
+from cicadawheel.control.assembly import clear_folder, name_replica
+from cicadawheel.control.storage import DiskFiles
+from cicadawheel.control.storage.identity import Identity
+from cicadawheel.control.storage.store import IDENTITY_NAME
+from cicadawheel.control.storage.value import write_value
+from cicadawheel.settings import Address, load_settings
+
+HOSTS = [f"127.0.0.{number}" for number in range(11, 17)]
+INI = """
+[process]
+name = {host}
+data_centre = north
+key = a key of sixteen characters
+[control]
+stream_address = {host}:{stream_port}
+replica_address = {host}:{port}
+operator_address = {host}:1
+seeds = {seeds}
+may_form = {may_form}
+replica_losses = 2
+data_folder = {folder}
+election_timeout_ms = 200
+heartbeat_ms = 40
+"""
+
+
+class Machines:
+    """Machines on loopback addresses, whose ports are the same."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.port = free_port()
+        self.running = {}
+        self.seeds = HOSTS[:3]
+
+    def settings(self, host, may_form=True):
+        path = self.folder / f"{host}.ini"
+        seeds = ",".join(f"{seed}:9" for seed in self.seeds)
+        text = INI.format(
+            host=host,
+            stream_port=self.port + 1,
+            port=self.port,
+            seeds=seeds,
+            may_form=may_form,
+            folder=self.folder / host,
+        )
+        path.write_text(text)
+        return load_settings(path)
+
+    def start(self, *hosts, may_form=True):
+        for host in hosts:
+            settings = name_replica(self.settings(host, may_form))
+            self.running[host] = Replica(settings)
+
+    async def stop(self, *hosts):
+        for host in hosts or list(self.running):
+            await self.running.pop(host).stop()
+
+    def lose_disk(self, host):
+        clear_folder(self.settings(host))
+
+    def leader(self):
+        return next((one for one in self.running.values() if one.log.leads), None)
+
+    async def until_voters(self, *hosts):
+        """Wait until exactly the replicas at these hosts vote."""
+
+        def vote():
+            leader = self.leader()
+            if leader is None:
+                return False
+            membership = leader.log._runner.engine.raft.membership
+            voting = [one.host for one in membership.members if one.voter]
+            return sorted(voting) == sorted(hosts)
+
+        async with asyncio.timeout(20):
+            while not vote():
+                await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+def machines(tmp_path):
+    """Return a function that runs a coroutine function on some machines."""
+
+    def run(work):
+        async def main():
+            made = Machines(tmp_path)
+            try:
+                await work(made)
+            finally:
+                await made.stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+def test_five_replicas_vote_though_three_addresses_are_told(machines):
+    async def work(site):
+        site.start(*HOSTS[:5])
+        await site.until_voters(*HOSTS[:5])
+        leader = site.leader()
+        assert leader.log.is_assembled()
+        await leader.log.propose(command("a"))
+        for replica in site.running.values():
+            await replica.until(lambda r=replica: r.machine.texts == ["a"])
+        assert set(leader.log.hosts()) == set(HOSTS[:5])
+
+    machines(work)
+
+
+def test_two_machines_that_lose_their_disks_take_part_again(machines):
+    async def work(site):
+        site.start(*HOSTS[:5])
+        await site.until_voters(*HOSTS[:5])
+        await site.leader().log.propose(command("a"))
+        await site.stop(*HOSTS[1:3])
+        for host in HOSTS[1:3]:
+            site.lose_disk(host)
+        site.start(*HOSTS[1:3], may_form=False)
+        lost = [site.running[host] for host in HOSTS[1:3]]
+        for replica in lost:
+            await replica.until(lambda r=replica: r.machine.texts == ["a"])
+        await site.until_voters(*HOSTS[:5])
+
+    machines(work)
+
+
+def test_machine_lost_for_good_makes_way_for_one_at_another_address(machines):
+    async def work(site):
+        site.start(*HOSTS[:5])
+        await site.until_voters(*HOSTS[:5])
+        await site.leader().log.propose(command("a"))
+        await site.stop(HOSTS[1])
+        site.start(HOSTS[5], may_form=False)
+        await site.until_voters(HOSTS[0], *HOSTS[2:])
+        fresh = site.running[HOSTS[5]]
+        await fresh.until(lambda: fresh.machine.texts == ["a"])
+
+    machines(work)
+
+
+def test_empty_disks_alone_form_nothing(machines):
+    async def work(site):
+        site.start(*HOSTS[:5], may_form=False)
+        first = site.running[HOSTS[0]]
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await first.log.wait_until(lambda: site.leader() is not None)
+        assert not first.log.is_assembled()
+
+    machines(work)
+
+
+def test_seed_takes_the_name_of_its_host_and_keeps_it(tmp_path):
+    site = Machines(tmp_path)
+    named = name_replica(site.settings(HOSTS[0]))
+    assert named.replica == HOSTS[0]
+    assert [one.replica for one in named.control.replicas] == HOSTS[:3]
+    assert named.control.replicas[1].address == Address(HOSTS[1], site.port)
+
+
+def test_empty_folder_that_may_not_form_gets_a_name_of_its_own(tmp_path):
+    site = Machines(tmp_path)
+    first = name_replica(site.settings(HOSTS[0], may_form=False)).replica
+    second = name_replica(site.settings(HOSTS[0], may_form=False)).replica
+    assert len({first, second, HOSTS[0]}) == 3
+
+
+def test_folder_with_an_identity_keeps_its_name_whatever_the_seeds_say(tmp_path):
+    site = Machines(tmp_path)
+    files = DiskFiles(str(tmp_path / HOSTS[3]))
+    write_value(files, IDENTITY_NAME, Identity("named", "f"))
+    files.close()
+    site.seeds = HOSTS[3:6]
+    assert name_replica(site.settings(HOSTS[3])).replica == "named"
+
+
+def test_leftovers_without_an_identity_are_removed(tmp_path):
+    site = Machines(tmp_path)
+    folder = tmp_path / HOSTS[0]
+    folder.mkdir()
+    (folder / "log-1").write_bytes(b"left over")
+    name_replica(site.settings(HOSTS[0]))
+    assert not (folder / "log-1").exists()
--- /dev/null
+++ b/test/test_voters.py
@@ -0,0 +1,171 @@
+"""Which replicas vote, where nobody tells control how many there are."""
+
+import pytest
+from raft_shuttle import Shuttle, propose
+
+from cicadawheel.control.raft.entry import SavedState
+from cicadawheel.control.raft.leadership import RaftOptions
+from cicadawheel.control.raft.membership import Membership, ReplicaMember
+from cicadawheel.control.raft.voters import next_membership
+
+HOSTS = ("h1", "h2", "h3", "h4", "h5")
+OPTIONS = RaftOptions(100.0, 20.0, voter_target=5, lost_ms=1_000.0)
+STEPS = 40
+SEEDS = range(12)
+
+
+def member(replica, voter=True):
+    host = replica.partition("-")[0]
+    return ReplicaMember(replica, host, 1, f"f-{replica}", voter)
+
+
+def make(voters, learners=()):
+    return Membership(
+        tuple(member(name) for name in voters)
+        + tuple(member(name, voter=False) for name in learners)
+    )
+
+
+def always(replica):
+    return True
+
+
+def never(replica):
+    return False
+
+
+def test_learner_votes_while_voters_are_wanted():
+    after = next_membership(make(["h1", "h2", "h3"], ["h4"]), 5, always, never)
+    assert after.voters() == ["h1", "h2", "h3", "h4"]
+
+
+def test_learner_that_lacks_entries_waits():
+    assert next_membership(make(["h1", "h2"], ["h4"]), 5, never, always) is None
+
+
+def test_learner_stands_by_while_there_are_enough_voters():
+    assert next_membership(make(HOSTS, ["h6"]), 5, always, never) is None
+
+
+def test_learner_at_the_address_of_a_lost_disk_takes_its_vote_in_one_change():
+    after = next_membership(make(HOSTS, ["h2-x"]), 5, always, never)
+    assert sorted(after.voters()) == ["h1", "h2-x", "h3", "h4", "h5"]
+    assert after.removed == ("h2",)
+
+
+def test_learner_at_the_address_of_a_lost_standby_takes_no_vote():
+    after = next_membership(make(HOSTS, ["h6-a", "h6-b"]), 5, always, never)
+    assert sorted(after.voters()) == sorted(HOSTS)
+    assert len(after.learners()) == 1
+
+
+def test_voter_lost_for_good_makes_way_for_a_newcomer():
+    lost = {"h3"}.__contains__
+    after = next_membership(make(HOSTS, ["h6"]), 5, always, lost)
+    assert after.voters() == ["h1", "h2", "h4", "h5"]
+    then = next_membership(after, 5, always, never)
+    assert then.voters() == ["h1", "h2", "h4", "h5", "h6"]
+
+
+def test_silent_voter_stays_while_nobody_waits():
+    assert next_membership(make(HOSTS), 5, always, always) is None
+
+
+class Site(Shuttle):
+    """Five machines whose replicas may be killed, cut off, or lose their disks."""
+
+    def __init__(self, seed):
+        self.names = dict.fromkeys(HOSTS)
+        super().__init__(seed=seed, options=OPTIONS)
+        bootstrap = make(HOSTS)
+        for host in HOSTS:
+            self.names[host] = host
+            self.saved[host] = SavedState(bootstrap=bootstrap)
+            self.start(host)
+
+    def lose_disk(self, host, number):
+        old = self.names[host]
+        if old in self.rafts:
+            self.stop(old)
+        self.names[host] = f"{host}-{number}"
+        self.saved[self.names[host]] = SavedState()
+        self.start(self.names[host])
+
+    def join(self):
+        """Have the leader add the replicas that are no members."""
+        leader = self.leader()
+        if leader is None:
+            return
+        raft = self.rafts[leader]
+        for name in self.names.values():
+            settled = raft.log.membership_index <= raft.commit_index
+            if name in self.rafts and raft.membership.find(name) is None and settled:
+                learner = member(name, voter=False)
+                raft.change_membership(
+                    raft.membership.with_learner(learner), self.now_ms
+                )
+                return
+
+    def leader(self):
+        for name in reversed(self.leaders()):
+            leadership = self.rafts[name].leadership
+            if leadership is not None and leadership.is_ready():
+                return name
+        return None
+
+    def go_on(self, ms):
+        for _ in range(int(ms / 50)):
+            self.pass_time(50)
+            self.join()
+
+    def is_whole(self):
+        leader = self.leader()
+        if leader is None:
+            return False
+        membership = self.rafts[leader].membership
+        return sorted(membership.voters()) == sorted(self.names.values())
+
+
+def lost_at_once(site, number):
+    """Lose two disks, or cut or kill as many, or kill all at the same moment."""
+    draw = site.random
+    kind = draw.choice(["wipe", "kill", "cut", "kill all", "wipe beside kill all"])
+    hosts = draw.sample(HOSTS, 2)
+    if kind == "cut":
+        site.cut = {site.names[host] for host in hosts}
+        site.go_on(600)
+        site.cut = set()
+        return
+    down = list(site.rafts) if "all" in kind else [site.names[h] for h in hosts]
+    for name in down:
+        site.stop(name)
+    if "wipe" in kind:
+        for host in hosts:
+            site.lose_disk(host, f"{number}{kind[0]}")
+    site.go_on(draw.choice([0, 300]))
+    for name in down:
+        if name in site.names.values() and name not in site.rafts:
+            site.start(name)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_what_was_acknowledged_survives_the_loss_of_two_at_once(seed):
+    site = Site(seed)
+    site.elect()
+    acknowledged = []
+    for number in range(STEPS):
+        leader = site.elect()
+        text = f"{number}".encode()
+        propose(site, leader, text)
+        raft = site.rafts[leader]
+        if raft.leadership is not None and raft.commit_index == raft.log.last_index:
+            acknowledged.append(text)
+        lost_at_once(site, number)
+        for _ in range(100):
+            site.go_on(200)
+            if site.is_whole():
+                break
+        assert site.is_whole()
+        leader = site.leader()
+        held = [text for text in site.applied[leader] if text in acknowledged]
+        assert held == acknowledged
