--- a/cicadawheel/control/daemon.py
+++ b/cicadawheel/control/daemon.py
@@ -137,6 +137,10 @@
             lambda: NodeSession(self.server),
         )
         operators = await serve_http(control.operator_address, self._make_handler(self))
+        metrics = self.settings.process.metrics_address
+        if metrics is not None:
+            figures = await serve_http(metrics, make_operator_handler(self))
+            self.supervisor.add("metrics", figures.serve_forever)
         log_event(log, "control_started", address=control.stream_address)
         self.supervisor.add("streams", streams.serve_forever)
         self.supervisor.add("operators", operators.serve_forever)
--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -97,6 +97,7 @@
         self.started_at_ms = entry.clock.now_ms()
         self.deadline_at_ms = self.started_at_ms + plan.deadline_ms
         self.node: NodeId | None = None
+        self.status = 0
         self._headers = entry.headers_to_upstream(request.headers)
         self._body = RequestBody(
             connection, entry.body_buffer_bytes, whole=not has_body(request.headers)
@@ -231,6 +232,7 @@
 
     def _open_attempt(self, pick: "Pick") -> Attempt:
         self.node = pick.member.node
+        self.entry.log_placed(self.plan, pick, self._attempts.count)
         call = self._make_open(pick.member.version)
         return self._attempts.open(pick, call, self._receive)
 
@@ -293,6 +295,7 @@
 
     def _take_head(self, attempt: Attempt, head: ReplyHead) -> None:
         self.node = attempt.node
+        self.status = head.status
         self._attempts.keep_only(attempt)
         self.entry.attempt_answered(self.plan, attempt.pick, head)
         if not head.more:
@@ -393,6 +396,7 @@
     def _respond(self, answer: Answer, end: CallEnd) -> None:
         if self.state is CallState.ENDED:
             return
+        self.status = answer.status
         self.connection.respond(answer.status, answer.headers, answer.body)
         self._end(end)
 
@@ -421,6 +425,19 @@
 
     def _end(self, end: CallEnd) -> None:
         self.state = CallState.ENDED
+        log_event(
+            log,
+            "call_ended",
+            request=self.plan.request,
+            route=self.plan.route,
+            service=self.plan.service,
+            end=end.value,
+            status=self.status,
+            node=self.node,
+            attempts=self._attempts.count,
+            reached=self._attempts.reached,
+            took_ms=self.entry.clock.now_ms() - self.started_at_ms,
+        )
         self._timer.cancel()
         self._attempts.cancel_hedge()
         self._body.detach()
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -238,6 +238,23 @@
             member = self._pick_of_version(plan, choice, tried, now_ms, need)
         return None if member is None else Pick(member, choice, now_ms)
 
+    def log_placed(self, plan: CallPlan, pick: Pick, attempts: int) -> None:
+        """Log where an attempt goes, and on what grounds."""
+        known = self.router.known(pick.member.node, pick.at_ms)
+        log_event(
+            log,
+            "call_placed",
+            request=plan.request,
+            service=plan.service,
+            node=pick.member.node,
+            attempt=attempts + 1,
+            version=pick.member.version,
+            revision=self.configuration.revision,
+            slowness=known.slowness,
+            calls=known.calls,
+            age_ms=known.age_ms,
+        )
+
     def _pick_of_version(
         self,
         plan: CallPlan,
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -57,6 +57,14 @@
     open: bool
 
 
+class Known(msgspec.Struct, frozen=True):
+    """What a router knows of one upstream, and for how long; -1 ms for nothing."""
+
+    slowness: float
+    calls: float
+    age_ms: float
+
+
 class RouterReport(msgspec.Struct, frozen=True):
     """The state of a router, for operators."""
 
@@ -158,6 +166,14 @@
                 return picked.member
         return None
 
+    def known(self, node: NodeId, now_ms: float) -> Known:
+        """Return on what grounds a node is picked."""
+        candidate = self._candidates.get(node)
+        if candidate is None or candidate.load is None:
+            return Known(1.0, 0.0, -1.0)
+        age_ms = now_ms - candidate.load_at_ms
+        return Known(candidate.slowness, candidate.calls(), age_ms)
+
     def slowness(self, node: NodeId) -> float:
         """Return how slow a node's upstream is, as far as it is known."""
         candidate = self._candidates.get(node)
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -291,6 +291,9 @@
         )
         admin = await serve_http(addresses.admin_address, self._make_handler(self))
         servers = [callers, nodes, admin]
+        metrics = self.settings.process.metrics_address
+        if metrics is not None:
+            servers.append(await serve_http(metrics, make_admin_handler(self)))
         if addresses.ready_address is not None:
             servers.append(
                 await serve_http(addresses.ready_address, self._answer_ready)
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -48,6 +48,7 @@
     log_level: Annotated[str, msgspec.Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")]
     key: Annotated[str, msgspec.Meta(min_length=KEY_MIN_CHARACTERS)]
     random_seed: NotNegative
+    metrics_address: Address | None
 
 
 class NodeSettings(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/test/test_bounded_logs.py
@@ -0,0 +1,108 @@
+"""Logs are bounded under load, and never wait for whoever reads them."""
+
+import logging
+import os
+
+import pytest
+
+from cicadawheel.logs import (
+    LINES_BURST,
+    LINES_PER_S,
+    Allowance,
+    BoundedHandler,
+    KeyValueFormatter,
+)
+
+
+class Clock:
+    """A time that is set by hand."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def make_record(event, **fields):
+    return logging.makeLogRecord({"event": event, "levelname": "INFO", **fields})
+
+
+def make_handler(writer, clock):
+    handler = BoundedHandler(writer, clock)
+    handler.setFormatter(KeyValueFormatter(["levelname", "event"]))
+    return handler
+
+
+def read_lines(reader):
+    try:
+        return os.read(reader, 1 << 20).decode().splitlines()
+    except BlockingIOError:
+        return []
+
+
+def test_flood_of_one_event_is_cut_and_counted(pipe):
+    reader, writer = pipe
+    clock = Clock()
+    handler = make_handler(writer, clock)
+    for number in range(1_000):
+        handler.emit(make_record("flood", number=number))
+    lines = read_lines(reader)
+    assert len(lines) == int(LINES_BURST)
+    clock.now_s += 1.0
+    handler.emit(make_record("flood", number=-1))
+    told = read_lines(reader)
+    assert f"event=lines_left_out lines={1_000 - int(LINES_BURST)}" in told[0]
+    assert "event=flood" in told[1]
+
+
+def test_flood_takes_no_other_events_place(pipe):
+    reader, writer = pipe
+    handler = make_handler(writer, Clock())
+    for number in range(1_000):
+        handler.emit(make_record("flood", number=number))
+    handler.emit(make_record("rare"))
+    assert any("event=rare" in line for line in read_lines(reader))
+
+
+def test_reader_that_has_stopped_holds_nothing_up(pipe):
+    reader, writer = pipe
+    clock = Clock()
+    handler = make_handler(writer, clock)
+    for number in range(3_000):
+        clock.now_s += 1.0
+        handler.emit(make_record("steady", text="x" * 200, number=number))
+    kept = read_lines(reader)
+    assert 0 < len(kept) < 3_000
+    clock.now_s += 1.0
+    handler.emit(make_record("steady", number=-1))
+    assert "event=lines_left_out" in read_lines(reader)[0]
+
+
+def test_reader_that_has_gone_ends_nothing():
+    reader, writer = os.pipe()
+    os.close(reader)
+    make_handler(writer, Clock()).emit(make_record("any"))
+    os.close(writer)
+
+
+def test_long_line_is_cut(pipe):
+    reader, writer = pipe
+    make_handler(writer, Clock()).emit(make_record("long", text="x" * 100_000))
+    assert len(read_lines(reader)[0]) <= 4_000
+
+
+def test_allowance_grows_with_the_time():
+    allowance = Allowance(LINES_PER_S, 1.0)
+    assert allowance.take(0.0)
+    assert not allowance.take(0.01)
+    assert allowance.take(0.01 + 1.0 / LINES_PER_S)
--- a/test/test_ui_events.py
+++ b/test/test_ui_events.py
@@ -31,7 +31,7 @@
     listed = {
         name for row in rows for name in re.findall(r"`(\w+)`", row.split("|")[1])
     }
-    known = {*logged_events(), "task_failed", *metric_names()}
+    known = {*logged_events(), "task_failed", "lines_left_out", *metric_names()}
     assert listed <= known
 
 
