Failures are tried elsewhere, second sends go by work done, cold starts get their bound

Change: an upstream's failure of a repeatable call is tried at another within the budget, a quarter of which is kept for that; work done is told from each machine's slowness over time, and calls are looked at every 50 ms; cold_factor.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -106,6 +106,7 @@
         self._attempts = Attempts(entry, plan)
         self._may_have_run = False
         self._last_reason: RefusalReason | None = None
+        self._failure: ReplyHead | None = None
         self._only_at = NodeId("")
         self._claim: ClaimRequest | None = None
         self._claiming: asyncio.Task | None = None
@@ -194,6 +195,9 @@
         if pick is None:
             self._refuse(self._last_reason or RefusalReason.NO_UPSTREAM)
             return
+        self._try_at(pick)
+
+    def _try_at(self, pick: "Pick") -> None:
         self._body.expect()
         attempt = self._open_attempt(pick)
         if attempt.live:
@@ -206,12 +210,12 @@
             self.plan, self._attempts.tried, self._only_at, len(self._body.beginning)
         )
 
-    def upstream_slowed(self, node: NodeId) -> None:
-        """Send the call once more if it runs where work takes far longer now."""
+    def consider_hedge(self) -> None:
+        """Send the call once more if another upstream would answer far sooner."""
         live = self._attempts.live
         if self.state is not CallState.TRYING or not self.plan.repeatable:
             return
-        if len(live) != 1 or live[0].node != node or not self._body.empty:
+        if len(live) != 1 or not self._body.empty:
             return
         if self._only_at or not self._may_hand_over():
             return
@@ -224,7 +228,7 @@
                 log,
                 "call_hedged",
                 request=self.plan.request,
-                node=node,
+                node=live[0].node,
                 other=pick.member.node,
                 gain_ms=gain_ms,
             )
@@ -294,6 +298,8 @@
             self._take_refusal(attempt, message)
 
     def _take_head(self, attempt: Attempt, head: ReplyHead) -> None:
+        if self._retries_answer(attempt, head):
+            return
         self.node = attempt.node
         self.status = head.status
         self._attempts.keep_only(attempt)
@@ -309,6 +315,29 @@
         if head.body:
             self._reply.send(head.body, keep=self._claim is not None)
 
+    def _retries_answer(self, attempt: Attempt, head: ReplyHead) -> bool:
+        """Try another upstream in place of one that failed the request."""
+        if head.more or self._only_at or not self._body.replayable:
+            return False
+        if not self.entry.is_retriable_answer(self.plan, head.status):
+            return False
+        pick = None
+        if len(self._attempts.live) == 1:
+            pick = self._pick() if self._may_hand_over() else None
+            if pick is None or pick.member.node in self._attempts.tried:
+                return False
+            if not self.entry.may_retry_answer(self.plan):
+                return False
+        self._attempts.drop(attempt)
+        self.entry.attempt_answered(self.plan, attempt.pick, head)
+        self._may_have_run = True
+        self._failure = head
+        if pick is not None:
+            self._body.detach()
+            self._attempts.cancel_hedge()
+            self._try_at(pick)
+        return True
+
     def _take_reply_end(self, attempt: Attempt) -> None:
         self._attempts.drop(attempt)
         self._store_answer(self._reply.answer())
@@ -368,6 +397,12 @@
     def _refuse(self, reason: RefusalReason) -> None:
         if self.state is CallState.ENDED:
             return
+        if self._failure is not None:
+            # An upstream's own answer says more than that there is no better one.
+            self.status = self._failure.status
+            self._reply.send_whole(self._failure)
+            self._end(CallEnd.ANSWERED)
+            return
         not_run = self._was_not_run()
         log_event(
             log,
--- a/cicadawheel/entry/candidate.py
+++ b/cicadawheel/entry/candidate.py
@@ -36,6 +36,8 @@
         "own_in_flight",
         "service_time_at_ms",
         "trust",
+        "_work_at_ms",
+        "_work_ms",
         "_average_others",
         "_average_own",
         "_others",
@@ -50,6 +52,8 @@
         self.own_in_flight = 0
         self.closed_until_ms = 0.0
         self.trust = 1.0
+        self._work_ms = 0.0
+        self._work_at_ms = 0.0
         self._others = 0.0
         self._sent_since = 0
         self._average_others = 0.0
@@ -66,6 +70,8 @@
 
     def observe(self, load: LoadReport, now_ms: float) -> None:
         """Take a report of its gate."""
+        self._work_ms = self.work_done_ms(now_ms)
+        self._work_at_ms = now_ms
         before = self.load
         if before is None or before.service_time_ms != load.service_time_ms:
             self.service_time_at_ms = now_ms
@@ -93,6 +99,15 @@
             return max(1.0, self.member.slots * self.trust)
         return max(1.0, self.load.limit * self.load.cold_share * self.trust)
 
+    def work_done_ms(self, now_ms: float) -> float:
+        """Return the work that one slot has done so far, as far as it was told.
+
+        The difference of two times is the work done between them, as time at the
+        usual speed.
+        """
+        passed_ms = now_ms - self._work_at_ms
+        return self._work_ms + passed_ms / max(1.0, self.slowness)
+
     @property
     def slowness(self) -> float:
         """How many times the usual its work takes, as its gate has told last."""
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -21,6 +21,7 @@
 from cicadawheel.entry.probing import PROBE_COST_BYTES, MeasuringMeter
 from cicadawheel.entry.retry import (
     HEDGE_COST,
+    MAY_HAVE_RUN_COST,
     RetryBudget,
     RetryBudgetReport,
     retry_cost,
@@ -57,6 +58,10 @@
 log = logging.getLogger(__name__)
 
 FIRST_SERVER_ERROR = 500
+DEADLINE_STATUS = 504
+# The part of the budget that may go into sends beside one that still runs; the rest
+# is kept for calls that have failed.
+HEDGED_PART = 0.75
 # Calls at an upstream that has slowed down by this factor may be sent once more.
 SLOWED_FACTOR = 2.0
 HEDGED_METHODS = frozenset(("GET", "HEAD"))
@@ -236,7 +241,10 @@
         if member is None and not tried:
             choice = self.versions.choose(plan.service, retry=True)
             member = self._pick_of_version(plan, choice, tried, now_ms, need)
-        return None if member is None else Pick(member, choice, now_ms)
+        if member is None:
+            return None
+        work_ms = self.router.work_done_ms(member.node, now_ms)
+        return Pick(member, choice, now_ms, work_ms)
 
     def log_placed(self, plan: CallPlan, pick: Pick, attempts: int) -> None:
         """Log where an attempt goes, and on what grounds."""
@@ -317,6 +325,16 @@
         self.versions.record(plan.service, pick.choice, plan.route, failed, latency_ms)
         return latency_ms
 
+    def is_retriable_answer(self, plan: CallPlan, status: int) -> bool:
+        """Return whether an upstream's answer is a failure that others may not give."""
+        if not isinstance(self.budget, WindowBudget) or not plan.repeatable:
+            return False
+        return status >= FIRST_SERVER_ERROR and status != DEADLINE_STATUS
+
+    def may_retry_answer(self, plan: CallPlan) -> bool:
+        """Return whether the budget allows another try after a failure."""
+        return self._spend(plan, MAY_HAVE_RUN_COST)
+
     def may_retry(self, plan: CallPlan, refused: Refused, reached: int) -> bool:
         """Return whether the service's retry budget allows one more attempt.
 
@@ -335,8 +353,16 @@
         It is worth less the fewer of them are left.
         """
         need = Need(self.works.usual_ms(plan.route), body_bytes)
-        ran_ms = self.clock.now_ms() - pick.at_ms
-        return self.router.gain_ms(pick.member, other.member, need, ran_ms)
+        now_ms = self.clock.now_ms()
+        done_ms = self.router.work_done_ms(pick.member.node, now_ms) - pick.work_ms
+        return self.router.gain_ms(pick.member, other.member, need, done_ms)
+
+    def consider_hedges(self, now_ms: float) -> None:
+        """Send calls once more whose upstreams turn out slower than others."""
+        if not isinstance(self.budget, WindowBudget):
+            return
+        for call in list(self.calls):
+            call.consider_hedge()
 
     def hedge_delay_ms(self, plan: CallPlan) -> float | None:
         """Return how long to wait before a second attempt, None for never."""
@@ -347,7 +373,11 @@
 
     def may_hedge(self, plan: CallPlan) -> bool:
         """Return whether the service's retry budget allows a second attempt."""
-        allowed = self._spend(plan, HEDGE_COST)
+        if isinstance(self.budget, WindowBudget):
+            now_ms = self.clock.now_ms()
+            allowed = self.budget.take(plan.service, HEDGE_COST, now_ms, HEDGED_PART)
+        else:
+            allowed = self._spend(plan, HEDGE_COST)
         if allowed:
             self.metrics.hedges.labels(plan.service).inc()
         return allowed
@@ -361,7 +391,8 @@
         self.router.observe(node, load, self.clock.now_ms())
         if slowed:
             for call in list(self.calls):
-                call.upstream_slowed(node)
+                if call.node == node:
+                    call.consider_hedge()
 
     def call_ended(self, call: EntryCall, end: CallEnd) -> None:
         """Forget a call."""
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -179,21 +179,23 @@
         candidate = self._candidates.get(node)
         return 1.0 if candidate is None else candidate.slowness
 
+    def work_done_ms(self, node: NodeId, now_ms: float) -> float:
+        """Return the work that one slot of a node has done, see `Candidate`."""
+        candidate = self._candidates.get(node)
+        return 0.0 if candidate is None else candidate.work_done_ms(now_ms)
+
     def gain_ms(
-        self, member: Member, other: Member, need: Need, ran_ms: float
+        self, member: Member, other: Member, need: Need, done_ms: float
     ) -> float:
         """Return how much sooner a second send to another upstream would answer.
 
-        ``ran_ms`` is for how long the first one runs; its work is taken for begun at
-        the slowness that its machine has now, if that is slow.
+        ``done_ms`` is the work that the first one's upstream has done for it.
         """
         here = self._candidates.get(member.node)
         there = self._candidates.get(other.node)
         if here is None or there is None:
             return 0.0
-        left_ms = max(LEAST_LEFT_PART * need.work_ms, need.work_ms - ran_ms)
-        if here.slowness > 1.0:
-            left_ms = max(left_ms, need.work_ms - ran_ms / here.slowness)
+        left_ms = max(LEAST_LEFT_PART * need.work_ms, need.work_ms - done_ms)
         distance_ms = self._distance_ms(other)
         own = other.node == self.node
         there_ms = answer_ms(there, need, distance_ms, own)
--- a/cicadawheel/entry/versions.py
+++ b/cicadawheel/entry/versions.py
@@ -30,8 +30,12 @@
 
 
 class Pick(msgspec.Struct, frozen=True):
-    """The upstream of an attempt, the choice that led to it, and its time."""
+    """The upstream of an attempt, the choice that led to it, and its time.
+
+    ``work_ms`` is the work that a slot of the upstream had done by then.
+    """
 
     member: Member
     choice: VersionChoice
     at_ms: float
+    work_ms: float = 0.0
--- a/cicadawheel/entry/window_budget.py
+++ b/cicadawheel/entry/window_budget.py
@@ -49,20 +49,20 @@
     def call_ended(self, service: ServiceName, share: float, now_ms: float) -> None:
         """Do nothing: requests count whether they succeed or not."""
 
-    def take(self, service: ServiceName, cost: float, now_ms: float) -> bool:
-        """Spend on one repeat, and return whether the budget allows it."""
+    def take(
+        self, service: ServiceName, cost: float, now_ms: float, part: float = 1.0
+    ) -> bool:
+        """Spend on one repeat, and return whether the budget allows it.
+
+        Only a ``part`` of the budget may be spent on what can be done without.
+        """
         account = self._account(service, now_ms)
-        if len(account.repeats) + cost > self._limit(account):
+        if len(account.repeats) + cost > self._limit(account) * part:
             account.refused += 1
             return False
         account.repeats.append(now_ms)
         return True
 
-    def left(self, service: ServiceName, now_ms: float) -> float:
-        """Return how many repeats of a service are left in this window."""
-        account = self._account(service, now_ms)
-        return self._limit(account) - len(account.repeats)
-
     def report(self) -> list[RetryBudgetReport]:
         """Return the budgets for operators."""
         return [
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -332,7 +332,9 @@
         if known is not None:
             rule = self.configuration.services.get(known.service)
             if rule is not None:
-                self.admission.set_cold_limit(rule.cold_calls_per_s)
+                self.admission.set_cold_limit(
+                    rule.cold_calls_per_s * self.settings.cold_factor
+                )
         if known is None or self.admission.leaving:
             return
         reason = None
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -54,6 +54,9 @@
 LEAVE_NOTICE_MS = 300.0
 ANNOUNCE_LIMIT_MS = 3.5 * ANNOUNCE_REPEAT_MS
 MEASURE_INTERVAL_MS = 50.0
+# How often calls are looked at that may be better off elsewhere: a small part of the
+# shortest target.
+HEDGE_INTERVAL_MS = 50.0
 
 
 MakeHandler = Callable[["Node"], Handler]
@@ -146,6 +149,7 @@
         self.announced_at_ms = 0.0
         self._last_beat = LastBeat()
         timers.every(MEASURE_INTERVAL_MS, self._measure)
+        timers.every(HEDGE_INTERVAL_MS, self.entry.consider_hedges)
         timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
         timers.every(caller.CHECK_INTERVAL_MS, self.entry.close_idle)
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
--- a/cicadawheel/platform/settings.py
+++ b/cicadawheel/platform/settings.py
@@ -57,5 +57,7 @@
         put("entry", "retry_slack", bounds.getfloat("budget_slack"))
     if "budget_window_s" in bounds:
         put("entry", "retry_window_ms", bounds.getfloat("budget_window_s") * MS_PER_S)
+    if "cold_overage" in bounds:
+        put("gate", "cold_factor", bounds.getfloat("cold_overage"))
     if "exposure_share" in bounds:
         put("control", "release_share", bounds.getfloat("exposure_share"))
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -91,6 +91,7 @@
     limit: Annotated[str, msgspec.Meta(pattern="^(fixed|aimd|gradient|told)$")] = "aimd"
     jump_factor: Annotated[float, msgspec.Meta(gt=1)] = 4.0
     report_interval_ms: PositiveMs = 500.0
+    cold_factor: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
 
 class EntrySettings(msgspec.Struct, frozen=True):
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -155,9 +155,9 @@
     router.observe("n1", make_load(0, 1.0), 0.0)
     router.observe("n0", make_load(1, SLOWNESS), 0.0)
     need = Need(WORK_MS)
-    assert router.gain_ms(members[0], members[1], need, ran_ms=20.0) > 100.0
+    assert router.gain_ms(members[0], members[1], need, done_ms=20.0) > 100.0
     router.observe("n0", make_load(1, 1.0), 0.0)
-    assert router.gain_ms(members[0], members[1], need, ran_ms=120.0) < 0.0
+    assert router.gain_ms(members[0], members[1], need, done_ms=120.0) < 0.0
 
 
 def test_slow_answers_do_not_teach_the_usual_time():
