Callers' limits of the configuration hold, answers outlive unread bodies, Retry-After

Cause: the limits that operators put were decoded and not used; a request that was answered before its body was read had its connection closed with bytes unread, which resets it and loses the answer; a refusal said nothing of when to come back. Change: 408, 413 and idle times by the configuration; the rest of an answered request is read and dropped for 2 s; Retry-After from the expected wait at the best upstream, spread; a body counts by its size only.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cicadawheel.configuration import Configuration, Member
+from cicadawheel.configuration import CallerLimits, Configuration, Member
 from cicadawheel.entry.answer import (
     Answer,
     CallerFault,
@@ -14,6 +14,7 @@
 )
 from cicadawheel.entry.call import CallEnd, EntryCall
 from cicadawheel.entry.claim import ClaimClient
+from cicadawheel.entry.comeback import come_back_ms
 from cicadawheel.entry.latency import Latencies
 from cicadawheel.entry.peers import CallHandle, PeerLinks, ReplySink
 from cicadawheel.entry.placement import Need, Works
@@ -173,6 +174,10 @@
         connection.closing = self.draining
         return True
 
+    def caller_limits(self) -> CallerLimits:
+        """Return what a caller may send, and how long it may take."""
+        return self.configuration.callers
+
     def connection_closed(self, connection: CallerConnection) -> None:
         """Forget a connection."""
         self._connections.discard(connection)
@@ -222,7 +227,13 @@
         self, plan: CallPlan, reason: RefusalReason, not_run: bool
     ) -> Answer:
         """Return the answer for a call that no upstream has answered."""
-        return answer_refusal(reason, not_run, plan.request, self.dialect)
+        back_ms = 0.0
+        if not_run and self.dialect.seal:
+            wait_ms = self.router.shortest_wait_ms(
+                plan.service, Need(self.works.usual_ms(plan.route)), plan.target_ms
+            )
+            back_ms = come_back_ms(reason, wait_ms, self.router.random)
+        return answer_refusal(reason, not_run, plan.request, self.dialect, back_ms)
 
     def pick(
         self, plan: CallPlan, tried: set[NodeId], only_at: NodeId, body_bytes: int = 0
--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -33,7 +33,7 @@
 DISTANCE_ROUND_TRIPS = 2.0
 """One way there and one back."""
 
-REMOTE_MS_PER_KIB = 4.0
+REMOTE_MS_PER_KIB = 6.0
 """What a kibibyte between data centres weighs, as time: traffic there is paid for."""
 
 ANSWER_KIB = 2.0
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -179,6 +179,16 @@
         candidate = self._candidates.get(node)
         return 1.0 if candidate is None else candidate.slowness
 
+    def shortest_wait_ms(
+        self, service: ServiceName, need: Need, target_ms: float
+    ) -> float:
+        """Return how long from now a call is expected to wait at the best upstream."""
+        waits_ms = [
+            answer_ms(candidate, need, 0.0, own=True) - need.work_ms
+            for candidate in self._by_service.get(service, ())
+        ]
+        return max(0.0, min(waits_ms, default=target_ms))
+
     def work_done_ms(self, node: NodeId, now_ms: float) -> float:
         """Return the work that one slot of a node has done, see `Candidate`."""
         candidate = self._candidates.get(node)
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -9,15 +9,27 @@
 
 import h11
 
-from cicadawheel.http.fields import END_OF_MESSAGE, RequestHead, read_request
+from cicadawheel.configuration import CallerLimits
+from cicadawheel.http.fields import (
+    END_OF_MESSAGE,
+    RequestHead,
+    content_length,
+    read_request,
+)
 from cicadawheel.logs import log_event
 from cicadawheel.messages import Header
+from cicadawheel.timer import MS_PER_S
 
 log = logging.getLogger(__name__)
 
 HEAD_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
 CHECK_INTERVAL_MS = 1_000.0
+# How long the rest of a request is read and dropped whose answer is sent already: its
+# connection must not end with bytes unread, or the answer would be lost.
+LINGER_S = 2.0
+HEAD_TOO_SLOW = 408
+BODY_TOO_BIG = 413
 
 Fields = list[tuple[bytes, bytes]]
 
@@ -49,6 +61,9 @@
     def connection_opened(self, connection: "CallerConnection") -> bool:
         """Return whether one more connection is accepted."""
 
+    def caller_limits(self) -> CallerLimits:
+        """Return what a caller may send, and how long it may take."""
+
     def connection_closed(self, connection: "CallerConnection") -> None:
         """A connection has ended."""
 
@@ -58,6 +73,7 @@
 
     IDLE = "idle"
     IN_CALL = "in call"
+    LINGERING = "lingering"
     CLOSED = "closed"
 
 
@@ -86,6 +102,7 @@
         self._transport: asyncio.Transport | None = None
         self._owner: CallOwner | None = None
         self._in_events = False
+        self._body_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection, or end it when there are too many."""
@@ -103,18 +120,33 @@
         except h11.RemoteProtocolError as error:
             self._refuse_malformed(error)
             return
+        if self.state is ConnectionState.LINGERING:
+            try:
+                self._drop_rest()
+            except h11.RemoteProtocolError:
+                self._transport.close()
+            return
         self._take_events()
         if self.state is ConnectionState.IDLE and self._head_since_s is None:
             self._head_since_s = asyncio.get_running_loop().time()
 
     def check_idle(self, now_s: float) -> None:
         """End the connection when a head takes too long, or none has come."""
-        if self.state is not ConnectionState.IDLE or self._transport is None:
+        if self._transport is None:
+            return
+        if self.state is ConnectionState.LINGERING:
+            if now_s - self._idle_since_s > LINGER_S:
+                self._transport.close()
+            return
+        if self.state is not ConnectionState.IDLE:
             return
+        limits = self.service.caller_limits()
+        head_s = limits.head_timeout_ms / MS_PER_S or HEAD_TIMEOUT_S
+        idle_s = limits.idle_timeout_ms / MS_PER_S or IDLE_TIMEOUT_S
         since_s = self._head_since_s
-        if since_s is not None and now_s - since_s > HEAD_TIMEOUT_S:
-            self.refuse(408, "the request's head took too long")
-        elif since_s is None and now_s - self._idle_since_s > IDLE_TIMEOUT_S:
+        if since_s is not None and now_s - since_s > head_s:
+            self.refuse(HEAD_TOO_SLOW, "the request's head took too long")
+        elif since_s is None and now_s - self._idle_since_s > idle_s:
             self._transport.close()
 
     def eof_received(self) -> bool:
@@ -204,7 +236,7 @@
             data = self._http.send(h11.Response(status_code=status, headers=fields))
             data += self._http.send(h11.Data(data=body))
             self._transport.write(data + self._http.send(END_OF_MESSAGE))
-        self._transport.close()
+        self._linger()
 
     def _fields(self, headers: tuple[Header, ...]) -> Fields:
         fields = [(header.name, header.value) for header in headers]
@@ -218,7 +250,10 @@
     def _finish(self, data: bytes) -> None:
         self._transport.write(data)
         self._owner = None
-        if not self._request_is_whole() or self._http.our_state is not h11.DONE:
+        if not self._request_is_whole():
+            self._linger()
+            return
+        if self._http.our_state is not h11.DONE:
             self._transport.close()
             return
         self._http.start_next_cycle()
@@ -228,6 +263,22 @@
         if not self._in_events and self._http.trailing_data[0]:
             self._take_events()
 
+    def _linger(self) -> None:
+        """Read the rest of a request that is answered already, and drop it."""
+        if self._http.their_state is not h11.SEND_BODY:
+            self._transport.close()
+            return
+        self.state = ConnectionState.LINGERING
+        self._idle_since_s = asyncio.get_running_loop().time()
+        self._transport.resume_reading()
+
+    def _drop_rest(self) -> None:
+        while self._http.their_state is h11.SEND_BODY:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+        self._transport.close()
+
     def _request_is_whole(self) -> bool:
         """Return whether nothing of the request is still to come.
 
@@ -258,8 +309,15 @@
         if isinstance(event, h11.Request):
             self.state = ConnectionState.IN_CALL
             self._head_since_s = None
-            self._owner = self.service.begin_call(self, read_request(event))
+            self._body_bytes = 0
+            request = read_request(event)
+            if self._is_too_big(content_length(request.headers) or 0):
+                return False
+            self._owner = self.service.begin_call(self, request)
         elif isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if self._is_too_big(self._body_bytes):
+                return False
             if self._owner is not None:
                 self._owner.body_received(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
@@ -272,6 +330,18 @@
             return False
         return True
 
+    def _is_too_big(self, body_bytes: int) -> bool:
+        """Refuse the request if its body is over the limit."""
+        limit_bytes = self.service.caller_limits().body_bytes
+        if not limit_bytes or body_bytes <= limit_bytes:
+            return False
+        log_event(log, "caller_refused", peer=self.peer, reason="body too big")
+        owner, self._owner = self._owner, None
+        if owner is not None:
+            owner.caller_lost()
+        self.refuse(BODY_TOO_BIG, "the request's body is too big")
+        return True
+
     def _answer_expectation(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
             going_on = h11.InformationalResponse(status_code=100, headers=[])
--- a/cicadawheel/http/upstream.py
+++ b/cicadawheel/http/upstream.py
@@ -26,6 +26,8 @@
 # An idle connection is given up so long before its upstream closes it, which it does
 # by a clock of whole seconds.
 IDLE_MARGIN_S = 1.5
+# The most bytes that the parser is told anew of a body which it has sent already.
+REPLAY_LIMIT_BYTES = 1_048_576
 
 
 class ExchangeEnd(Enum):
@@ -83,7 +85,8 @@
         self._reading = True
         self._skipping = False
         self._is_tainted = False
-        self._sent: list[h11.Event] = []
+        self._request: h11.Request | None = None
+        self._body_bytes = 0
         self.idle_since_s = 0.0
         self.idle_limit_s = math.inf
 
@@ -119,28 +122,28 @@
         """Write the head and the beginning of the body in one write."""
         self.wrote_request = True
         self._got_head = False
-        self._sent.clear()
-        request = h11.Request(method=method, target=target, headers=fields)
-        data = self._send(request)
+        self._request = h11.Request(method=method, target=target, headers=fields)
+        self._body_bytes = 0
+        data = self._http.send(self._request)
         if body:
-            data += self._send(h11.Data(data=body))
+            data += self._send_data(body)
         if not more:
-            data += self._send(END_OF_MESSAGE)
+            data += self._http.send(END_OF_MESSAGE)
         self._transport.write(data)
 
     def send_body(self, data: bytes) -> None:
         """Write a piece of the body."""
         if self.is_open and self._http.our_state is h11.SEND_BODY:
-            self._transport.write(self._send(h11.Data(data=data)))
+            self._transport.write(self._send_data(data))
 
     def end_body(self) -> None:
         """Mark the request as whole."""
         if self.is_open and self._http.our_state is h11.SEND_BODY:
-            self._transport.write(self._send(END_OF_MESSAGE))
+            self._transport.write(self._http.send(END_OF_MESSAGE))
 
-    def _send(self, event: h11.Event) -> bytes:
-        self._sent.append(event)
-        return self._http.send(event)
+    def _send_data(self, data: bytes) -> bytes:
+        self._body_bytes += len(data)
+        return self._http.send(h11.Data(data=data))
 
     def pause(self) -> None:
         """Stop reading the answer."""
@@ -241,14 +244,16 @@
 
         The parser knows one answer for each request, so it is told of this one anew.
         """
-        whole = self._sent and self._sent[-1] is END_OF_MESSAGE
-        if not whole or self._http.their_state is not h11.DONE:
+        states = (self._http.our_state, self._http.their_state)
+        if states != (h11.DONE, h11.DONE) or self._body_bytes > REPLAY_LIMIT_BYTES:
             self._fail(ExchangeEnd.MALFORMED)
             return
         rest, closed = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
-        for event in self._sent:
-            self._http.send(event)
+        self._http.send(self._request)
+        if self._body_bytes:
+            self._http.send(h11.Data(data=bytes(self._body_bytes)))
+        self._http.send(END_OF_MESSAGE)
         if rest:
             self._http.receive_data(rest)
         if closed:
@@ -257,11 +262,9 @@
     def _end_exchange(self) -> None:
         owner, self.owner = self.owner, None
         self.resume()
-        self._sent.clear()
         self.idle_since_s = asyncio.get_running_loop().time()
-        if self._is_tainted:
-            self._transport.abort()
-        elif self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+        states = (self._http.our_state, self._http.their_state)
+        if states == (h11.DONE, h11.DONE) and not self._is_tainted:
             self._http.start_next_cycle()
         elif self._transport is not None:
             self._transport.abort()
