--- a/cicadawheel/gate/news.py
+++ b/cicadawheel/gate/news.py
@@ -10,12 +10,6 @@
 SLOWNESS_STEP = 1.4
 """A change of the slowness by this factor moves calls; less is within their spread."""
 
-BUSY_PART = 0.5
-"""Below this part of its slots, an upstream has room whatever the entries think."""
-
-CALLS_STEP = 0.15
-"""A change of the calls by this part of the slots moves calls."""
-
 
 class LoadNews:
     """Says whether a load differs from the one that was told last."""
@@ -37,19 +31,11 @@
         return True
     if (told.cold_share < 1.0) != (load.cold_share < 1.0):
         return True
-    if _is_full(told) != _is_full(load) or _is_busier(told, load):
+    if _is_full(told) != _is_full(load):
         return True
     ratio = load.slowness / told.slowness
     return ratio >= SLOWNESS_STEP or ratio <= 1.0 / SLOWNESS_STEP
 
 
-def _is_busier(told: LoadReport, load: LoadReport) -> bool:
-    """Return whether the calls have changed so much that calls go elsewhere."""
-    calls, told_calls = (one.in_flight + one.queued for one in (load, told))
-    if max(calls, told_calls) < BUSY_PART * load.limit:
-        return False
-    return abs(calls - told_calls) >= max(1.0, CALLS_STEP * load.limit)
-
-
 def _is_full(load: LoadReport) -> bool:
     return load.in_flight + load.queued >= load.limit
