--- /dev/null
+++ b/test/test_load_news.py
@@ -0,0 +1,55 @@
+"""When a gate tells the entries of its load without being asked."""
+
+import pytest
+
+from cicadawheel.gate.news import LoadNews
+from cicadawheel.messages import LoadReport
+
+
+def make_load(in_flight=0, slowness=1.0, queued=0, **fields):
+    values = {"limit": 6, "cold_share": 1.0, "leaving": False, "boot": "b", **fields}
+    return LoadReport(
+        in_flight=in_flight,
+        queued=queued,
+        service_time_ms=100.0,
+        revision=0,
+        slowness=slowness,
+        **values,
+    )
+
+
+@pytest.fixture
+def news():
+    made = LoadNews()
+    assert made.is_news(make_load(1))
+    return made
+
+
+@pytest.mark.parametrize(
+    "load",
+    [
+        make_load(1, 7.0),
+        make_load(6),
+        make_load(1, cold_share=0.3),
+        make_load(1, leaving=True),
+        make_load(1, boot="c"),
+    ],
+)
+def test_what_moves_calls_is_told_once(news, load):
+    assert news.is_news(load)
+    assert not news.is_news(load)
+
+
+@pytest.mark.parametrize("load", [make_load(0), make_load(2), make_load(1, 1.2)])
+def test_what_moves_nothing_is_not_told(news, load):
+    assert not news.is_news(load)
+
+
+def test_end_of_a_slow_spell_is_told(news):
+    news.is_news(make_load(1, 7.0))
+    assert news.is_news(make_load(1, 1.0))
+
+
+def test_small_steps_add_up(news):
+    assert not news.is_news(make_load(1, 1.3))
+    assert news.is_news(make_load(1, 1.5))
