--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -271,6 +271,7 @@
             fingerprint=self._fingerprint,
             target_ms=self._target_left_ms(),
             priority=self.plan.priority,
+            work_ms=self.entry.works.usual_ms(self.plan.route),
         )
 
     def _target_left_ms(self) -> float:
@@ -326,7 +327,7 @@
             pick = self._pick() if self._may_hand_over() else None
             if pick is None or pick.member.node in self._attempts.tried:
                 return False
-            if not self.entry.may_retry_answer(self.plan):
+            if not self.entry.may_retry_answer(self.plan, pick):
                 return False
         self._attempts.drop(attempt)
         self.entry.attempt_answered(self.plan, attempt.pick, head)
--- a/cicadawheel/entry/candidate.py
+++ b/cicadawheel/entry/candidate.py
@@ -120,6 +120,10 @@
         told = self.load.in_flight + self.load.queued + self._sent_since
         return float(max(told, self.own_in_flight))
 
+    def has_room(self) -> bool:
+        """Return whether one more call is thought to find a free slot."""
+        return self.calls() + 1.0 <= self.capacity()
+
     def in_flight(self, now_ms: float, half_life_ms: float) -> float:
         """Return the estimate of the calls that it has.
 
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -342,8 +342,10 @@
             return False
         return status >= FIRST_SERVER_ERROR and status != DEADLINE_STATUS
 
-    def may_retry_answer(self, plan: CallPlan) -> bool:
-        """Return whether the budget allows another try after a failure."""
+    def may_retry_answer(self, plan: CallPlan, pick: Pick) -> bool:
+        """Return whether another try after a failure has room and is in the budget."""
+        if not self.router.has_room(pick.member.node):
+            return False
         return self._spend(plan, MAY_HAVE_RUN_COST)
 
     def may_retry(self, plan: CallPlan, refused: Refused, reached: int) -> bool:
--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -14,6 +14,7 @@
 
 from cicadawheel.entry.candidate import Candidate
 from cicadawheel.entry.group import Group, Usable
+from cicadawheel.slowness import remaining_ms
 
 FIRST_WORK_MS = 100.0
 """Usual time of a route's work before any answer was seen."""
@@ -24,9 +25,6 @@
 CALM_SLOWNESS = 1.5
 """Answers from machines that are slower say little of the usual time."""
 
-SPELL_MS = 400.0
-"""How long a machine that is slow now is expected to stay so."""
-
 HOP_MS = 1.0
 """What a hop to another node costs beside the distance."""
 
@@ -77,17 +75,6 @@
             self._usual_ms[route] = known_ms + WORK_WEIGHT * (took_ms - known_ms)
 
 
-def remaining_ms(work_ms: float, slowness: float) -> float:
-    """Return how long work is expected to take on a machine of a slowness.
-
-    A slow machine does some of the work slowly, and is its usual self again before
-    long.
-    """
-    if slowness <= 1.0:
-        return work_ms
-    return min(work_ms * slowness, work_ms + SPELL_MS * (1.0 - 1.0 / slowness))
-
-
 def answer_ms(candidate: Candidate, need: Need, distance_ms: float, own: bool) -> float:
     """Return the cost of a call at an upstream, as the time to its answer."""
     slowness, calls = candidate.slowness, candidate.calls()
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -16,7 +16,7 @@
     Ejections,
 )
 from cicadawheel.entry.group import Group, make_group
-from cicadawheel.entry.placement import NO_NEED, Need, answer_ms, remaining_ms
+from cicadawheel.entry.placement import NO_NEED, Need, answer_ms
 from cicadawheel.entry.policy import make_policy
 from cicadawheel.ids import (
     DataCentreName,
@@ -26,6 +26,7 @@
 )
 from cicadawheel.messages import LoadReport, RefusalReason
 from cicadawheel.settings import EntrySettings
+from cicadawheel.slowness import remaining_ms
 
 USUAL_WEIGHT = 0.05
 PROBE_CHOICES = 3
@@ -189,6 +190,11 @@
         ]
         return max(0.0, min(waits_ms, default=target_ms))
 
+    def has_room(self, node: NodeId) -> bool:
+        """Return whether a call is thought to find a free slot at a node."""
+        candidate = self._candidates.get(node)
+        return candidate is not None and candidate.has_room()
+
     def work_done_ms(self, node: NodeId, now_ms: float) -> float:
         """Return the work that one slot of a node has done, see `Candidate`."""
         candidate = self._candidates.get(node)
@@ -203,7 +209,7 @@
         """
         here = self._candidates.get(member.node)
         there = self._candidates.get(other.node)
-        if here is None or there is None:
+        if here is None or there is None or not there.has_room():
             return 0.0
         left_ms = max(LEAST_LEFT_PART * need.work_ms, need.work_ms - done_ms)
         distance_ms = self._distance_ms(other)
--- a/cicadawheel/gate/decision.py
+++ b/cicadawheel/gate/decision.py
@@ -16,10 +16,14 @@
 
 
 class Wish(msgspec.Struct, frozen=True):
-    """When an answer is worth most, 0 if that isn't known, and the rank, 0 first."""
+    """When an answer is worth most, the rank, 0 first, and the usual time of the work.
+
+    Times are 0 where they aren't known.
+    """
 
     target_at_ms: float = 0.0
     priority: int = 0
+    work_ms: float = 0.0
 
 
 NO_WISH = Wish()
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -198,7 +198,8 @@
             gate_call.refuse(refusal, not_run=True)
             return gate_call
         target_ms = call.target_ms
-        wish = Wish(now_ms + target_ms if target_ms else 0.0, call.priority)
+        target_at_ms = now_ms + target_ms if target_ms else 0.0
+        wish = Wish(target_at_ms, call.priority, call.work_ms)
         decision = self.admission.offer(
             ticket,
             gate_call.deadline_at_ms,
--- a/cicadawheel/gate/told.py
+++ b/cicadawheel/gate/told.py
@@ -19,6 +19,7 @@
 from cicadawheel.gate.warm_up import WarmUpReport
 from cicadawheel.ids import BootId, Revision
 from cicadawheel.messages import LoadReport, RefusalReason
+from cicadawheel.slowness import remaining_ms
 
 COLD_WINDOW_MS = 1_000.0
 """Cold upstreams state what they bear in a second; any second counts."""
@@ -35,6 +36,9 @@
 MOVE_SLOWNESS = 2.0
 """From this slowness on, what waits past its target is better placed elsewhere."""
 
+BURST_MS = 300.0
+"""A queue that stands for longer is an overload; slow spells make shorter ones."""
+
 ALONE_RUN_MS = 500.0
 """How long a request that may crash its upstream keeps others out."""
 
@@ -49,12 +53,17 @@
     priority: int
     deadline_at_ms: float
     target_at_ms: float
+    work_ms: float
     alone: bool
     slowness: float
 
-    def rank(self, now_ms: float) -> tuple[int, bool, float]:
-        """Return its place: by priority, then what can meet its target, the first."""
-        return (self.priority, self.target_at_ms < now_ms, self.deadline_at_ms)
+    def rank(self, starts_ms: float) -> tuple[int, bool, float]:
+        """Return its place: by priority, then what can meet its target, the first.
+
+        ``starts_ms`` is when it could begin.
+        """
+        late = starts_ms + self.work_ms > self.target_at_ms
+        return (self.priority, late, self.target_at_ms)
 
 
 class ToldAdmission:
@@ -72,6 +81,7 @@
         self._cold_admitted: deque[float] = deque()
         self._admitted: dict[int, _Admitted] = {}
         self._queue: list[_Waiting] = []
+        self._queued_since_ms = 0.0
 
     @property
     def in_flight(self) -> int:
@@ -142,6 +152,7 @@
             wish.priority,
             deadline_at_ms,
             wish.target_at_ms or deadline_at_ms,
+            wish.work_ms or self.work_ms,
             alone,
             self.slowness,
         )
@@ -149,12 +160,11 @@
         if not ahead and self._has_room(alone, now_ms):
             self._admit(ticket, alone, now_ms)
             return Decision(ticket, Verdict.ADMIT)
-        left_ms = (deadline_at_ms - now_ms) * DEADLINE_PART
-        if self._wait_ms(ahead, now_ms) + self.work_ms > left_ms:
-            reason = RefusalReason.COLD if self._is_cold(now_ms) else None
-            return Decision(
-                ticket, Verdict.REFUSE, reason or RefusalReason.QUEUE_DEADLINE
-            )
+        reason = self._reason_not_to_wait(waiting, ahead, now_ms)
+        if reason is not None:
+            return Decision(ticket, Verdict.REFUSE, reason)
+        if not self._queue:
+            self._queued_since_ms = now_ms
         self._queue.append(waiting)
         return Decision(ticket, Verdict.WAIT)
 
@@ -238,19 +248,47 @@
         """
         kept, decisions = [], []
         for held in self._queue:
-            left_ms = (held.deadline_at_ms - now_ms) * DEADLINE_PART
-            slowed = self.slowness >= MOVE_SLOWNESS > held.slowness
-            if self.work_ms > left_ms:
-                reason = RefusalReason.QUEUE_DEADLINE
-            elif slowed:
-                reason = RefusalReason.OVERLOAD
-            else:
+            reason = self._reason_to_go(held, now_ms)
+            if reason is None:
                 kept.append(held)
-                continue
-            decisions.append(Decision(held.ticket, Verdict.REFUSE, reason))
+            else:
+                decisions.append(Decision(held.ticket, Verdict.REFUSE, reason))
         self._queue = kept
         return decisions
 
+    def _reason_to_go(self, held: _Waiting, now_ms: float) -> RefusalReason | None:
+        needed_ms = remaining_ms(held.work_ms, self.slowness)
+        if needed_ms > (held.deadline_at_ms - now_ms) * DEADLINE_PART:
+            return RefusalReason.QUEUE_DEADLINE
+        if self.slowness >= MOVE_SLOWNESS > held.slowness:
+            return RefusalReason.OVERLOAD
+        late = now_ms + needed_ms > held.target_at_ms
+        if late and self._is_overload(now_ms):
+            return RefusalReason.OVERLOAD
+        return None
+
+    def _reason_not_to_wait(
+        self, waiting: _Waiting, ahead: int, now_ms: float
+    ) -> RefusalReason | None:
+        """Return why a request is better refused at once, or None.
+
+        In a burst it may wait past its target. In an overload, all who wait so long
+        would get late answers only, and so would those who come after them.
+        """
+        wait_ms = self._wait_ms(ahead, now_ms)
+        ends_ms = now_ms + wait_ms + remaining_ms(waiting.work_ms, self.slowness)
+        left_ms = (waiting.deadline_at_ms - now_ms) * DEADLINE_PART
+        if ends_ms > now_ms + left_ms:
+            cold = self._is_cold(now_ms)
+            return RefusalReason.COLD if cold else RefusalReason.QUEUE_DEADLINE
+        if ends_ms > waiting.target_at_ms and self._is_overload(now_ms):
+            return RefusalReason.OVERLOAD
+        return None
+
+    def _is_overload(self, now_ms: float) -> bool:
+        """Return whether the queue has stood for longer than a burst."""
+        return bool(self._queue) and now_ms - self._queued_since_ms > BURST_MS
+
     def _ahead_of(self, waiting: _Waiting, now_ms: float) -> int:
         rank = waiting.rank(now_ms)
         return sum(held.rank(now_ms) <= rank for held in self._queue)
--- a/cicadawheel/messages.py
+++ b/cicadawheel/messages.py
@@ -55,7 +55,8 @@
 
     ``deadline_ms`` is the time that is left, and ``target_ms`` that in which an
     answer is worth most, below 0 if it has passed and 0 if it isn't known. Calls of
-    ``priority`` 0 go first. ``depth`` is the number of calls above this one. ``body``
+    ``priority`` 0 go first. ``work_ms`` is the usual time of such work, 0 if it isn't
+    known. ``depth`` is the number of calls above this one. ``body``
     is the whole body, or its beginning when ``more`` says that `Body` messages and an
     `End` follow.
     """
@@ -75,6 +76,7 @@
     fingerprint: str
     target_ms: float = 0.0
     priority: int = 0
+    work_ms: float = 0.0
 
 
 class Body(Message, tag="body"):
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -10,10 +10,11 @@
 import pytest
 
 from cicadawheel.configuration import Configuration, DataCentreRule, Member
-from cicadawheel.entry.placement import Need, Works, remaining_ms
+from cicadawheel.entry.placement import Need, Works
 from cicadawheel.entry.router import Router
 from cicadawheel.messages import LoadReport
 from cicadawheel.settings import EntrySettings
+from cicadawheel.slowness import remaining_ms
 
 SLOTS = 9
 UPSTREAMS = 5
