--- a/cicadawheel/gate/server.py
+++ b/cicadawheel/gate/server.py
@@ -74,7 +74,10 @@
         elif isinstance(message, ViewRequest):
             self._tell_view(stream, message)
         elif message.stream in self._calls:
-            self._calls[message.stream].receive(message)
+            call = self._calls[message.stream]
+            call.receive(message)
+            if call.state is CallState.ENDED:
+                self._calls.pop(message.stream, None)
 
     def stream_closed(self, stream: Stream, error: PeerError | None) -> None:
         """Cancel the calls of a peer that has left: nobody takes the answers."""
--- a/cicadawheel/gate/told.py
+++ b/cicadawheel/gate/told.py
@@ -190,8 +190,9 @@
         return self.tick(now_ms)
 
     def withdraw(self, ticket: int) -> None:
-        """Forget a request that waits."""
+        """Forget a request that waits, or was admitted and never sent."""
         self._queue = [held for held in self._queue if held.ticket != ticket]
+        self._admitted.pop(ticket, None)
 
     def tick(self, now_ms: float) -> list[Decision]:
         """Return the verdicts that the passing of time brings."""
