--- a/cicadawheel/ui/application.py
+++ b/cicadawheel/ui/application.py
@@ -7,6 +7,7 @@
 from cicadawheel.timer import Clock, SystemClock
 from cicadawheel.ui.answers import ANSWERS_COMMANDS
 from cicadawheel.ui.control import CONTROL_COMMANDS
+from cicadawheel.ui.explain import EXPLAIN_COMMANDS
 from cicadawheel.ui.moves import MOVE_COMMANDS
 from cicadawheel.ui.processes import PROCESS_COMMANDS
 
@@ -52,6 +53,7 @@
         *ANSWERS_COMMANDS,
         *MOVE_COMMANDS,
         *CONTROL_COMMANDS,
+        *EXPLAIN_COMMANDS,
     )
     for command in commands:
         application.add(command())
