A big body goes to another gate only once that gate has taken the call

Change: from 16 KiB on, the head goes first, and the body when the gate gives room. Seen: a test that counts the bytes to a gate that refuses, and to one that takes the call.

--- a/cicadawheel/entry/body.py
+++ b/cicadawheel/entry/body.py
@@ -8,6 +8,9 @@
 from cicadawheel.http.caller import CallerConnection
 from cicadawheel.messages import Body, End
 
+HELD_BACK_BYTES = 16_384
+"""From this size on, a body weighs more than one more round to the gate."""
+
 
 class RequestBody:
     """The body of one request.
@@ -32,6 +35,7 @@
         self._room_bytes = 0
         self._handle: CallHandle | None = None
         self._end_owed = False
+        self._held_back = False
 
     @property
     def ready(self) -> bool:
@@ -43,6 +47,14 @@
         """Whether the request has no body at all."""
         return self.whole and not self.beginning
 
+    @property
+    def waits_for_room(self) -> bool:
+        """Whether the whole body is sent only once the gate has taken the call.
+
+        A gate that refuses has then cost a head, not the body, of each call.
+        """
+        return self.whole and len(self.beginning) >= HELD_BACK_BYTES
+
     @property
     def more(self) -> bool:
         """Whether pieces follow the beginning."""
@@ -66,24 +78,30 @@
     def attach(self, handle: CallHandle) -> None:
         """Send what follows the beginning to a gate."""
         self._handle = handle
+        self._held_back = self.waits_for_room
         self._room_bytes = self.buffer_bytes
         self._send()
 
     def expect(self) -> None:
         """Note whether the gate that gets the call now is owed an end."""
-        self._end_owed = self.more
+        self._end_owed = self.more or self.waits_for_room
 
     def detach(self) -> None:
         """Send nothing more to the present gate."""
         self._handle = None
+        self._held_back = False
 
     def add_room(self, size_bytes: int) -> None:
         """Note that the gate has room for more."""
+        if self._held_back and self._handle is not None:
+            self._held_back = False
+            beginning = bytes(self.beginning)
+            self._handle.receive(Body(self._handle.stream, beginning))
         self._room_bytes += size_bytes
         self._send()
 
     def _send(self) -> None:
-        if self._handle is None:
+        if self._handle is None or self._held_back:
             return
         if self._waiting and self._room_bytes > 0:
             self._send_piece()
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -156,6 +156,9 @@
         )
         self._return_credit(sum(map(len, self._request_parts)))
         self._request_parts.clear()
+        if self.call.more and not self.call.body:
+            room_bytes = self.gate.settings.body_buffer_bytes
+            self.sink(Credit(self.call.stream, room_bytes))
 
     def expects(self, response: ResponseHead) -> bool:
         """Return whether an answer is that to this request, not one of an earlier."""
--- a/test/test_entry_calls.py
+++ b/test/test_entry_calls.py
@@ -4,6 +4,8 @@
 
 from site_in_loop import call, until
 
+from cicadawheel.entry.peers import PeerLink
+from cicadawheel.messages import Body, RefusalReason
 from cicadawheel.node.daemon import LEAVE_NOTICE_MS
 from cicadawheel.timer import MS_PER_S
 
@@ -304,3 +306,30 @@
     while measure() != last:
         last = measure()
         await asyncio.sleep(STEADY_S)
+
+
+def test_big_body_is_sent_only_to_a_gate_that_takes_the_call(on_site, monkeypatch):
+    sent = []
+    usual = PeerLink.send
+
+    def send(link, message):
+        sent.append(message)
+        usual(link, message)
+
+    async def work(site):
+        await site.warm_up()
+        far = site.nodes[1]
+        body = b"x" * 60_000
+        site.nodes[0].gate.drain()
+        far.gate.admission.close(RefusalReason.OVERLOAD)
+        monkeypatch.setattr(PeerLink, "send", send)
+        refused = await call(site.nodes[0], "POST", "/any", body)
+        assert refused.status == 503
+        assert not any(isinstance(message, Body) for message in sent)
+        far.gate.admission.open(0.0)
+        answer = await call(site.nodes[0], "POST", "/any", body)
+        assert (answer.status, len(answer.body)) == (200, len(body) + 5)
+        pieces = [message for message in sent if isinstance(message, Body)]
+        assert sum(len(piece.data) for piece in pieces) == len(body)
+
+    on_site(work)
