--- a/cicadawheel/gate/news.py
+++ b/cicadawheel/gate/news.py
@@ -10,12 +10,6 @@
 SLOWNESS_STEP = 1.4
 """A change of the slowness by this factor moves calls; less is within their spread."""
 
-QUEUE_STEP = 2
-"""Calls by which a queue must grow to be told: one more moves no others."""
-
-QUEUE_PART = 0.5
-"""The part by which a long queue must change, so that it costs few messages."""
-
 
 class LoadNews:
     """Says whether a load differs from the one that was told last."""
@@ -37,17 +31,11 @@
         return True
     if (told.cold_share < 1.0) != (load.cold_share < 1.0):
         return True
-    if _is_full(told) != _is_full(load) or _queue_differs(told, load):
+    if _is_full(told) != _is_full(load):
         return True
     ratio = load.slowness / told.slowness
     return ratio >= SLOWNESS_STEP or ratio <= 1.0 / SLOWNESS_STEP
 
 
-def _queue_differs(told: LoadReport, load: LoadReport) -> bool:
-    """Return whether the queue has grown or shrunk by a good part."""
-    step = max(QUEUE_STEP, QUEUE_PART * told.queued)
-    return abs(load.queued - told.queued) >= step
-
-
 def _is_full(load: LoadReport) -> bool:
     return load.in_flight + load.queued >= load.limit
--- a/test/test_load_news.py
+++ b/test/test_load_news.py
@@ -30,7 +30,6 @@
     [
         make_load(1, 7.0),
         make_load(6),
-        make_load(6, queued=2),
         make_load(1, cold_share=0.3),
         make_load(1, leaving=True),
         make_load(1, boot="c"),
@@ -54,9 +53,3 @@
 def test_small_steps_add_up(news):
     assert not news.is_news(make_load(1, 1.3))
     assert news.is_news(make_load(1, 1.5))
-
-
-def test_growing_queue_is_told_in_few_messages(news):
-    told = [queued for queued in range(40) if news.is_news(make_load(6, queued=queued))]
-    assert told[:4] == [0, 2, 4, 6]
-    assert len(told) <= 10
