--- a/cicadawheel/gate/told.py
+++ b/cicadawheel/gate/told.py
@@ -16,6 +16,7 @@
 from cicadawheel.announcement import UpstreamLoad
 from cicadawheel.gate.admission import AdmissionReport
 from cicadawheel.gate.decision import NO_WISH, Decision, Result, Verdict, Wish
+from cicadawheel.gate.reserve import SlotReserve
 from cicadawheel.gate.warm_up import WarmUpReport
 from cicadawheel.ids import BootId, Revision
 from cicadawheel.messages import LoadReport, RefusalReason
@@ -81,6 +82,7 @@
         self._cold_admitted: deque[float] = deque()
         self._admitted: dict[int, _Admitted] = {}
         self._queue: list[_Waiting] = []
+        self._reserve = SlotReserve()
         self._queued_since_ms = 0.0
 
     @property
@@ -156,8 +158,9 @@
             alone,
             self.slowness,
         )
+        self._reserve.seen(wish.priority, now_ms)
         ahead = self._ahead_of(waiting, now_ms)
-        if not ahead and self._has_room(alone, now_ms):
+        if not ahead and self._has_room(waiting, now_ms):
             self._admit(ticket, alone, now_ms)
             return Decision(ticket, Verdict.ADMIT)
         reason = self._reason_not_to_wait(waiting, ahead, now_ms)
@@ -198,8 +201,11 @@
         """Return the verdicts that the passing of time brings."""
         decisions = self._refuse_hopeless(now_ms)
         self._queue.sort(key=lambda held: held.rank(now_ms))
-        while self._queue and self._has_room(self._queue[0].alone, now_ms):
-            held = self._queue.pop(0)
+        for held in tuple(self._queue):
+            # Those behind have no more slots than this one, which has a higher rank.
+            if not self._has_room(held, now_ms):
+                break
+            self._queue.remove(held)
             self._admit(held.ticket, held.alone, now_ms)
             decisions.append(Decision(held.ticket, Verdict.ADMIT))
         return decisions
@@ -312,14 +318,15 @@
         usable = self.cold_calls_per_s * self.work_ms / COLD_WINDOW_MS
         return min(1.0, max(usable, 1.0) / self.slots)
 
-    def _has_room(self, alone: bool, now_ms: float) -> bool:
-        if len(self._admitted) >= max(1, self.slots):
+    def _has_room(self, waiting: _Waiting, now_ms: float) -> bool:
+        usable = self._reserve.usable(waiting.priority, max(1, self.slots))
+        if len(self._admitted) >= usable:
             return False
         if self._is_cold(now_ms) and not self._bears_one_more(now_ms):
             return False
         if not self._admitted:
             return True
-        return not alone and not any(
+        return not waiting.alone and not any(
             held.alone and now_ms < held.since_ms + ALONE_RUN_MS
             for held in self._admitted.values()
         )
