A body that is held back reaches the gate of its own node

The gate of the entry's own node gives room while it is being asked, before the entry has its handle, and the body then waited for ever. Excluded: a first guess that the nodes' links were full (uploads to other nodes passed). Change: room that is given early counts once the handle is there. Before: a test with one node fails; after it passes.

--- a/cicadawheel/entry/body.py
+++ b/cicadawheel/entry/body.py
@@ -36,6 +36,7 @@
         self._handle: CallHandle | None = None
         self._end_owed = False
         self._held_back = False
+        self._has_early_room = False
 
     @property
     def ready(self) -> bool:
@@ -80,11 +81,14 @@
         self._handle = handle
         self._held_back = self.waits_for_room
         self._room_bytes = self.buffer_bytes
+        if self._has_early_room:
+            self.add_room(0)
         self._send()
 
     def expect(self) -> None:
         """Note whether the gate that gets the call now is owed an end."""
         self._end_owed = self.more or self.waits_for_room
+        self._has_early_room = False
 
     def detach(self) -> None:
         """Send nothing more to the present gate."""
@@ -93,7 +97,10 @@
 
     def add_room(self, size_bytes: int) -> None:
         """Note that the gate has room for more."""
-        if self._held_back and self._handle is not None:
+        if self._handle is None:
+            # The gate of this node gives room before it is known to have the call.
+            self._has_early_room = True
+        elif self._held_back:
             self._held_back = False
             beginning = bytes(self.beginning)
             self._handle.receive(Body(self._handle.stream, beginning))
--- a/test/test_entry_calls.py
+++ b/test/test_entry_calls.py
@@ -333,3 +333,12 @@
         assert sum(len(piece.data) for piece in pieces) == len(body)
 
     on_site(work)
+
+
+def test_big_body_reaches_the_own_upstream_too(on_site):
+    async def work(site):
+        await site.warm_up()
+        answer = await call(site.nodes[0], "POST", "/any", b"x" * 60_000)
+        assert answer.status == 200
+
+    on_site(work, node_count=1)
