Views and the log cross between processes compressed

Change: frames of views and of the log from 1 KiB on are compressed; a broken one, or one that grows over the limit of any frame, ends the stream.

--- a/cicadawheel/control/messages.py
+++ b/cicadawheel/control/messages.py
@@ -1,5 +1,7 @@
 """The typed messages of the streams between nodes and control."""
 
+from typing import ClassVar
+
 import msgspec
 
 from cicadawheel.configuration import Configuration, Member
@@ -54,6 +56,8 @@
 class View(Message, tag="view"):
     """All that a node needs to know, at one index of the log."""
 
+    compresses: ClassVar[bool] = True
+
     index: LogIndex
     configuration: Configuration
     members: tuple[Member, ...]
@@ -66,6 +70,8 @@
     ``configuration`` and ``quarantined`` are None when they are the same.
     """
 
+    compresses: ClassVar[bool] = True
+
     base: LogIndex
     index: LogIndex
     configuration: ConfigurationDelta | None
--- a/cicadawheel/control/raft/message.py
+++ b/cicadawheel/control/raft/message.py
@@ -1,5 +1,7 @@
 """The messages that replicas exchange for consensus."""
 
+from typing import ClassVar
+
 from cicadawheel.control.raft.entry import LogEntry
 from cicadawheel.control.raft.membership import Membership
 from cicadawheel.ids import LogIndex, Term
@@ -29,6 +31,8 @@
     ``round`` counts the leader's confirmations that it still leads.
     """
 
+    compresses: ClassVar[bool] = True
+
     term: Term
     prev_index: LogIndex
     prev_term: Term
@@ -54,6 +58,8 @@
 class SnapshotChunk(Message, tag="snapshot"):
     """A piece of the leader's snapshot, which has ``size_bytes`` in all."""
 
+    compresses: ClassVar[bool] = True
+
     term: Term
     index: LogIndex
     last_term: Term
--- a/cicadawheel/control/replica/message.py
+++ b/cicadawheel/control/replica/message.py
@@ -1,6 +1,7 @@
 """The messages between replicas besides those of consensus."""
 
 from enum import Enum
+from typing import ClassVar
 
 import msgspec
 
@@ -59,6 +60,8 @@
 class Ask(Message, tag="ask"):
     """Passes a caller's request on to the leader."""
 
+    compresses: ClassVar[bool] = True
+
     number: int
     request: Request
 
--- a/cicadawheel/messages.py
+++ b/cicadawheel/messages.py
@@ -5,6 +5,7 @@
 """
 
 from enum import Enum
+from typing import ClassVar
 
 import msgspec
 
@@ -213,6 +214,8 @@
 class ViewReply(Message, tag="view!"):
     """A node's whole view."""
 
+    compresses: ClassVar[bool] = True
+
     view: View
 
 
--- a/cicadawheel/wire/stream.py
+++ b/cicadawheel/wire/stream.py
@@ -4,6 +4,7 @@
 import logging
 import socket
 import struct
+import zlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -18,6 +19,12 @@
 
 FRAME_HEAD = struct.Struct(">I")
 FRAME_LIMIT_BYTES = 4 * 1024 * 1024
+COMPRESSED_FLAG = 1 << 31
+"""Set in the size of a frame that is compressed."""
+COMPRESSED_FROM_BYTES = 1_024
+"""Shorter messages fit a packet or two as they are."""
+COMPRESSION_LEVEL = 1
+"""The fastest; higher levels hardly save more on such messages."""
 HANDSHAKE_TIMEOUT_S = 5.0
 HANDSHAKE_FRAME_LIMIT_BYTES = 1_024
 
@@ -170,17 +177,42 @@
         start = 0
         try:
             while len(buffer) - start >= FRAME_HEAD.size:
-                size = FRAME_HEAD.unpack_from(buffer, start)[0]
+                head = FRAME_HEAD.unpack_from(buffer, start)[0]
+                size = head & ~COMPRESSED_FLAG
                 self._check_size(size)
                 end = start + FRAME_HEAD.size + size
                 if len(buffer) < end:
                     break
                 frame = bytes(buffer[start + FRAME_HEAD.size : end])
                 start = end
+                if head & COMPRESSED_FLAG:
+                    frame = self._decompress(frame)
                 self._take_frame(frame)
         finally:
             del buffer[:start]
 
+    def _decompress(self, frame: bytes) -> bytes:
+        """Return what a compressed frame holds, which has the limit of any frame."""
+        if not self.handshake.done:
+            raise ProtocolError(
+                "compressed frame in the handshake", step="receive", peer=self.peer
+            )
+        limit_bytes = self.frame_limit_bytes
+        unpacked = zlib.decompressobj()
+        try:
+            data = unpacked.decompress(frame, limit_bytes)
+        except zlib.error as error:
+            raise ProtocolError(
+                f"frame can't be decompressed: {error}", step="receive", peer=self.peer
+            ) from error
+        if not unpacked.eof:
+            raise ProtocolError(
+                f"frame is cut short or over the limit of {limit_bytes}",
+                step="receive",
+                peer=self.peer,
+            )
+        return data
+
     def _check_size(self, size: int) -> None:
         limit = self.frame_limit_bytes
         if not self.handshake.done:
@@ -233,7 +265,11 @@
 
     def _enqueue(self, message: Message) -> None:
         data = _encoder.encode(message)
-        self._outbox.append(FRAME_HEAD.pack(len(data)))
+        flag = 0
+        if message.compresses and len(data) >= COMPRESSED_FROM_BYTES:
+            data = zlib.compress(data, COMPRESSION_LEVEL)
+            flag = COMPRESSED_FLAG
+        self._outbox.append(FRAME_HEAD.pack(len(data) | flag))
         self._outbox.append(data)
         if not self._flush_scheduled:
             self._flush_scheduled = True
--- a/test/test_wire.py
+++ b/test/test_wire.py
@@ -1,16 +1,25 @@
 """The streams between processes: handshake, framing and refusals."""
 
 import asyncio
+import zlib
 
 import msgspec
 import pytest
 
+from cicadawheel.configuration import Configuration, HostRoute, RepeatRule, ServiceShare
+from cicadawheel.control.messages import View
 from cicadawheel.errors import AuthenticationError, ConnectionLostError
 from cicadawheel.ids import StreamId
-from cicadawheel.messages import End, NodeMessage, Probe
+from cicadawheel.messages import End, NodeMessage, Probe, ViewReply
 from cicadawheel.wire import connect_stream, serve_streams
 from cicadawheel.wire.handshake import Role
-from cicadawheel.wire.stream import FRAME_HEAD, FRAME_LIMIT_BYTES, Identity, Stream
+from cicadawheel.wire.stream import (
+    COMPRESSED_FLAG,
+    FRAME_HEAD,
+    FRAME_LIMIT_BYTES,
+    Identity,
+    Stream,
+)
 
 
 class Recorder:
@@ -111,3 +120,50 @@
         return failures
 
     assert asyncio.run(run()) == []
+
+
+def make_view(count):
+    routes = {}
+    for number in range(count):
+        shares = (ServiceShare(f"service-{number % 3}", 1.0),)
+        name = f"host.example/prefix-{number}/"
+        routes[name] = HostRoute(
+            name, "host.example", f"/{number}/", RepeatRule.ONCE, shares, 1e3, 5e2, 1, 2
+        )
+    return View(3, Configuration(revision=3, routes=routes), (), ())
+
+
+def test_long_views_cross_in_a_fifth_of_their_size():
+    async def run():
+        server, stream, accepted, _ = await open_pair()
+        view = make_view(300)
+        plain = len(msgspec.msgpack.encode(ViewReply(view)))
+        before = stream.sent_bytes
+        stream.send(ViewReply(view))
+        assert await accepted.messages.get() == ViewReply(view)
+        assert stream.sent_bytes - before < plain / 5
+        stream.close()
+        await accepted.closed.get()
+        server.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        b"no deflate",
+        zlib.compress(bytes(FRAME_LIMIT_BYTES + 1)),
+        zlib.compress(b"x")[:4],
+    ],
+)
+def test_compressed_frame_that_is_broken_or_grows_too_long_ends_the_stream(frame):
+    async def run():
+        server, stream, accepted, connected = await open_pair()
+        head = FRAME_HEAD.pack(len(frame) | COMPRESSED_FLAG)
+        stream._transport.write(head + frame)
+        error = await accepted.closed.get()
+        assert error.step == "receive"
+        server.close()
+
+    asyncio.run(run())
