A request that is refused before its route is known leaves a line with its id

Change: call_refused and call_faulty carry the request's id there too; such a caller is told when to come back.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -34,7 +34,12 @@
 from cicadawheel.gate.gate import Gate
 from cicadawheel.http.caller import CallerConnection
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
-from cicadawheel.http.fields import Headers, RequestHead, keep_end_to_end
+from cicadawheel.http.fields import (
+    Headers,
+    RequestHead,
+    find_field,
+    keep_end_to_end,
+)
 from cicadawheel.ids import (
     Fingerprint,
     NodeId,
@@ -194,13 +199,38 @@
         """Begin a call, or answer at once what is wrong with it."""
         if not self.configuration.revision:
             # What must never repeat isn't known before the first view.
-            answer = answer_refusal(RefusalReason.NO_VIEW, True, "", self.dialect)
+            named = find_field(request.headers, self.dialect.request_id) or b""
+            request_id = named.decode("latin-1")
+            back_ms = 0.0
+            if self.dialect.seal:
+                back_ms = come_back_ms(RefusalReason.NO_VIEW, 0.0, self.router.random)
+            answer = answer_refusal(
+                RefusalReason.NO_VIEW, True, request_id, self.dialect, back_ms
+            )
+            log_event(
+                log,
+                "call_refused",
+                request=request_id,
+                service="",
+                node=self.node,
+                reason=RefusalReason.NO_VIEW.value,
+                not_run=True,
+                attempts=0,
+            )
             connection.respond(answer.status, answer.headers, answer.body)
             return None
         plan = self._plan(request)
         if not isinstance(plan, CallPlan):
-            answer = answer_fault(plan, "")
-            log_event(log, "call_faulty", peer=connection.peer, reason=plan.value)
+            named = find_field(request.headers, self.dialect.request_id) or b""
+            request_id = named.decode("latin-1")
+            answer = answer_fault(plan, request_id)
+            log_event(
+                log,
+                "call_faulty",
+                request=request_id,
+                peer=connection.peer,
+                reason=plan.value,
+            )
             connection.respond(answer.status, answer.headers, answer.body)
             return None
         self.budget.call_began(plan.service, self.clock.now_ms())
--- a/cicadawheel/explain.py
+++ b/cicadawheel/explain.py
@@ -106,6 +106,9 @@
 def _cause(request: str, lines: list[LogLine]) -> str:
     ends = [line for line in lines if line.event == "call_ended"]
     own = [line for line in ends if line.fields["request"] == request]
+    early = [line for line in lines if line.event in ("call_refused", "call_faulty")]
+    if not own and early:
+        return _refusal(early[-1])
     if not own:
         return "no line tells how it ended: it may have been left out, or still runs"
     last = own[-1].fields
