Releases are done or taken back within a platform's order

The stages needed 65 s by the habits of answers, and the first share of 2% brought 7 calls in 14 s. Excluded: the judge (9 of 11 failed calls sufficed once they had come). Change: habits for short orders: the limit of 10% at once, stages of 1 s and 10 calls; an order's time leaves 2 s in which the old version's upstreams finish, and only then the release is reported as completed.

--- a/cicadawheel/configuration.py
+++ b/cicadawheel/configuration.py
@@ -92,12 +92,18 @@
 
 
 class ReleaseHabits(msgspec.Struct, frozen=True):
-    """How a service's new versions are brought in."""
+    """How a service's new versions are brought in.
+
+    ``first_share`` is the share of the first calls, 0 for a part of the proof limit.
+    A stage ends after ``calls_min`` calls of the new version at the earliest.
+    """
 
     proof_share_limit: float = 0.05
     stage_min_ms: float = 10_000.0
     failure_ratio_limit: float = 0.02
     slowdown_limit: float = 1.5
+    first_share: float = 0.0
+    calls_min: int = 30
 
 
 class ServiceRule(msgspec.Struct, frozen=True):
--- a/cicadawheel/control/orders.py
+++ b/cicadawheel/control/orders.py
@@ -10,6 +10,7 @@
     Configuration,
     HostRoute,
     ReleaseRule,
+    ReleaseState,
     ServiceRule,
 )
 from cicadawheel.configuration_check import check_rules
@@ -29,6 +30,9 @@
 log = logging.getLogger(__name__)
 
 DIGEST_BYTES = 16
+ANSWER_MS = 1_000
+"""Steps of a release are half a second apart, and operators ask about as often."""
+
 RESEND_MS = 10_000
 """A release ordered again within this time is the same order, sent again."""
 
@@ -120,6 +124,13 @@
         await self.server.log.confirm_read()
         return self.server.state.documents.document
 
+    def is_settled(self, release: ReleaseRule) -> bool:
+        """Return whether the old version's upstreams are no longer needed."""
+        if release.state is not ReleaseState.DONE:
+            return False
+        settle_ms = self.server.settings.release_settle_ms
+        return self.server.clock.unix_ms() - release.done_at_ms >= settle_ms
+
     async def release(self, service: ServiceName) -> ReleaseRule | None:
         """Return the newest release of a service, or None.
 
@@ -131,6 +142,15 @@
         await self.server.log.confirm_read()
         return self.server.state.configuration.release_of(service)
 
+    def _time_to_done_ms(self, duration_ms: float) -> int:
+        """Return in which time all calls are to go to a new version.
+
+        The old one's upstreams have to settle within the order's time, if it is long
+        enough for that at all.
+        """
+        settle_ms = self.server.settings.release_settle_ms + ANSWER_MS
+        return int(max(duration_ms / 2, duration_ms - settle_ms))
+
     async def start_release(
         self, service: ServiceName, version: VersionName, duration_ms: float
     ) -> Outcome:
@@ -153,6 +173,6 @@
             expected_revision=ANY_REVISION,
             service=service,
             version=version,
-            deadline_at_ms=now_ms + int(duration_ms),
+            deadline_at_ms=now_ms + self._time_to_done_ms(duration_ms),
         )
         return await self.propose(command)
--- a/cicadawheel/platform/control.py
+++ b/cicadawheel/platform/control.py
@@ -47,11 +47,11 @@
     OutcomeState.REFUSED: INVALID,
 }
 STATE_NAMES = {
-    ReleaseState.DONE: "completed",
     ReleaseState.TAKEN_BACK: "rolled_back",
     ReleaseState.STOPPED: "rolled_back",
 }
 RUNNING = "running"
+COMPLETED = "completed"
 
 
 class RolloutBody(msgspec.Struct, frozen=True):
@@ -151,6 +151,8 @@
         if release is None:
             return text_answer(f"no rollout of {of}\n", NOT_FOUND)
         state = STATE_NAMES.get(release.state, RUNNING)
+        if self.orders.is_settled(release):
+            state = COMPLETED
         return json_answer(RolloutState(state, release.version))
 
     async def _evacuate(self, request: HttpRequest, of: str) -> HttpAnswer:
--- a/cicadawheel/release/plan.py
+++ b/cicadawheel/release/plan.py
@@ -34,19 +34,20 @@
     """Return the stages of a release before it is done.
 
     The first has a part of the proof limit, spread evenly. The second has the
-    limit, in bursts at one upstream. The others rise.
+    limit, in bursts at one upstream. The others rise. Where the first calls may have
+    the limit at once, there is no stage before it.
     """
     limit = habits.proof_share_limit
+    first = habits.first_share or limit / FIRST_SHARE_PARTS
     rising = (
         Stage(ReleaseState.RISING, share, RISING_WEIGHT)
         for share in RISING_SHARES
         if share > limit + SHARE_TOLERANCE
     )
-    return (
-        Stage(ReleaseState.STAGED, limit / FIRST_SHARE_PARTS, FIRST_WEIGHT),
-        Stage(ReleaseState.STAGED, limit, PROOF_WEIGHT),
-        *rising,
-    )
+    proof = Stage(ReleaseState.STAGED, limit, PROOF_WEIGHT)
+    if first >= limit - SHARE_TOLERANCE:
+        return (proof, *rising)
+    return (Stage(ReleaseState.STAGED, first, FIRST_WEIGHT), proof, *rising)
 
 
 def stage_index(stages: tuple[Stage, ...], share: float) -> int:
--- a/cicadawheel/release/run.py
+++ b/cicadawheel/release/run.py
@@ -24,7 +24,6 @@
 from cicadawheel.release.sketch import total_ms
 
 FIRST_CALLS_MIN = 10
-CALLS_MIN = 30
 USABLE_PART = 0.8
 
 
@@ -147,7 +146,8 @@
     def _lacking_evidence(
         self, release: ReleaseRule, place: int, judgement: Judgement, now_ms: int
     ) -> str:
-        least = CALLS_MIN if place else FIRST_CALLS_MIN
+        calls_min = self.rule.habits.calls_min
+        least = calls_min if place else min(calls_min, FIRST_CALLS_MIN)
         if judgement.new_calls < least:
             return f"{judgement.new_calls} calls of {least} seen at this share"
         left_ms = release.deadline_at_ms - now_ms
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -136,6 +136,9 @@
     probe_bytes_per_s: PositiveMs
     release_share: Annotated[float, msgspec.Meta(gt=0, le=0.5)]
     release_stage_ms: PositiveMs
+    release_first_share: Annotated[float, msgspec.Meta(ge=0, le=0.5)]
+    release_calls: Positive
+    release_settle_ms: NotNegative
     claim_window_s: Positive
     snapshot_entries: Positive
 
@@ -146,7 +149,10 @@
     def habits(self) -> ReleaseHabits:
         """Return how new versions are brought in where no answers say so."""
         return ReleaseHabits(
-            proof_share_limit=self.release_share, stage_min_ms=self.release_stage_ms
+            proof_share_limit=self.release_share,
+            stage_min_ms=self.release_stage_ms,
+            first_share=self.release_first_share,
+            calls_min=self.release_calls,
         )
 
     @property
--- a/test/test_release.py
+++ b/test/test_release.py
@@ -284,3 +284,20 @@
     assert outcome.state is ReleaseState.TAKEN_BACK
     assert outcome.new_share_proof <= HABITS.proof_share_limit
     assert outcome.events == snapshot
+
+
+def test_stages_of_a_short_release_begin_at_the_limit():
+    habits = ReleaseHabits(proof_share_limit=0.1, first_share=0.1, stage_min_ms=1_000.0)
+    shares = [stage.share for stage in make_stages(habits)]
+    assert shares == [0.1, 0.2, 0.4, 0.7]
+
+
+def test_short_release_of_a_quiet_service_is_done_in_time():
+    habits = ReleaseHabits(0.1, 1_000.0, first_share=0.1, calls_min=10)
+    stages = make_stages(habits)
+    left_ms = 13_000.0
+    for place in range(len(stages)):
+        length_ms = stage_ms(stages, place, left_ms, habits)
+        calls_per_s = 40.0 * stages[place].share
+        left_ms -= max(length_ms, habits.calls_min / calls_per_s * 1_000.0) + 500.0
+    assert left_ms >= 0.0
