Placing knows of the slots that are kept for higher ranks

Cause: an entry sent calls of a low rank to gates whose only free slots are kept for higher ones, where they waited though other upstreams had room. Change: the entry counts ranks as the gates do; a burst is 200 ms in place of 300.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -58,6 +58,7 @@
 )
 from cicadawheel.metrics import NodeMetrics
 from cicadawheel.release.chooser import VersionChoice
+from cicadawheel.reserve import SlotReserve
 from cicadawheel.settings import EntrySettings
 from cicadawheel.timer import Clock
 
@@ -139,6 +140,7 @@
         self.caller_service = ServiceName("")
         self.budget = _make_budget(settings)
         self.works = Works()
+        self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
         self.meter = MeasuringMeter()
         self.quarantined: frozenset[Fingerprint] = frozenset()
@@ -233,7 +235,10 @@
             )
             connection.respond(answer.status, answer.headers, answer.body)
             return None
-        self.budget.call_began(plan.service, self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        self.budget.call_began(plan.service, now_ms)
+        reserve = self._reserves.setdefault(plan.service, SlotReserve())
+        reserve.seen(plan.priority, now_ms)
         call = EntryCall(self, connection, request, plan)
         self.calls.add(call)
         self.idle.clear()
@@ -260,7 +265,7 @@
         back_ms = 0.0
         if not_run and self.dialect.seal:
             wait_ms = self.router.shortest_wait_ms(
-                plan.service, Need(self.works.usual_ms(plan.route)), plan.target_ms
+                plan.service, self._need(plan), plan.target_ms
             )
             back_ms = come_back_ms(reason, wait_ms, self.router.random)
         return answer_refusal(reason, not_run, plan.request, self.dialect, back_ms)
@@ -272,7 +277,7 @@
 
         ``only_at`` names the one node that may run the request, if set.
         """
-        need = Need(self.works.usual_ms(plan.route), body_bytes)
+        need = self._need(plan, body_bytes)
         now_ms = self.clock.now_ms()
         choice = self.versions.choose(plan.service, retry=bool(tried))
         if only_at:
@@ -395,11 +400,16 @@
 
         It is worth less the fewer of them are left.
         """
-        need = Need(self.works.usual_ms(plan.route), body_bytes)
+        need = self._need(plan, body_bytes)
         now_ms = self.clock.now_ms()
         done_ms = self.router.work_done_ms(pick.member.node, now_ms) - pick.work_ms
         return self.router.gain_ms(pick.member, other.member, need, done_ms)
 
+    def _need(self, plan: CallPlan, body_bytes: int = 0) -> Need:
+        reserve = self._reserves.get(plan.service)
+        part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
+        return Need(self.works.usual_ms(plan.route), body_bytes, part)
+
     def consider_hedges(self, now_ms: float) -> None:
         """Send calls once more whose upstreams turn out slower than others."""
         if not isinstance(self.budget, WindowBudget):
--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -45,10 +45,14 @@
 
 
 class Need(msgspec.Struct, frozen=True):
-    """What is known of a call before it is placed."""
+    """What is known of a call before it is placed.
+
+    ``usable_part`` is the part of an upstream's slots that calls of its rank may use.
+    """
 
     work_ms: float = FIRST_WORK_MS
     body_bytes: int = 0
+    usable_part: float = 1.0
 
 
 NO_NEED = Need()
@@ -78,7 +82,7 @@
 def answer_ms(candidate: Candidate, need: Need, distance_ms: float, own: bool) -> float:
     """Return the cost of a call at an upstream, as the time to its answer."""
     slowness, calls = candidate.slowness, candidate.calls()
-    capacity = candidate.capacity()
+    capacity = max(1.0, candidate.capacity() * need.usable_part)
     work_ms = need.work_ms * (1.0 + USE_PART * min(1.0, calls / capacity))
     cost_ms = remaining_ms(work_ms, slowness)
     ahead = calls + 1.0 - capacity
--- a/cicadawheel/gate/told.py
+++ b/cicadawheel/gate/told.py
@@ -16,10 +16,10 @@
 from cicadawheel.announcement import UpstreamLoad
 from cicadawheel.gate.admission import AdmissionReport
 from cicadawheel.gate.decision import NO_WISH, Decision, Result, Verdict, Wish
-from cicadawheel.gate.reserve import SlotReserve
 from cicadawheel.gate.warm_up import WarmUpReport
 from cicadawheel.ids import BootId, Revision
 from cicadawheel.messages import LoadReport, RefusalReason
+from cicadawheel.reserve import SlotReserve
 from cicadawheel.slowness import remaining_ms
 
 COLD_WINDOW_MS = 1_000.0
@@ -37,7 +37,7 @@
 MOVE_SLOWNESS = 2.0
 """From this slowness on, what waits past its target is better placed elsewhere."""
 
-BURST_MS = 300.0
+BURST_MS = 200.0
 """A queue that stands for longer is an overload; slow spells make shorter ones."""
 
 ALONE_RUN_MS = 500.0
--- a/cicadawheel/gate/reserve.py
+++ b/cicadawheel/reserve.py
@@ -41,6 +41,10 @@
             return slots
         return slots - max(1, int(slots * RESERVED_PART))
 
+    def usable_part(self, priority: int) -> float:
+        """Return which part of any upstream's slots requests of a rank may use."""
+        return 1.0 - RESERVED_PART if self._yields(priority) else 1.0
+
     def _yields(self, priority: int) -> bool:
         total = sum(self._seen.values())
         higher = sum(count for rank, count in self._seen.items() if rank < priority)
