--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -199,10 +199,10 @@
         self, connection: CallerConnection, request: RequestHead
     ) -> EntryCall | None:
         """Begin a call, or answer at once what is wrong with it."""
+        named = find_field(request.headers, self.dialect.request_id) or b""
+        request_id = named.decode("latin-1")
         if not self.configuration.revision:
             # What must never repeat isn't known before the first view.
-            named = find_field(request.headers, self.dialect.request_id) or b""
-            request_id = named.decode("latin-1")
             back_ms = 0.0
             if self.dialect.seal:
                 back_ms = come_back_ms(RefusalReason.NO_VIEW, 0.0, self.router.random)
@@ -223,8 +223,6 @@
             return None
         plan = self._plan(request)
         if not isinstance(plan, CallPlan):
-            named = find_field(request.headers, self.dialect.request_id) or b""
-            request_id = named.decode("latin-1")
             answer = answer_fault(plan, request_id)
             log_event(
                 log,
