Gates that crash at once agree on the tester of a suspect

Cause: a gate whose upstream dies never names itself as the tester. Two gates that crash at once each name the other and keep what they knew first, so each refuses the request for a minute as to be run at the other. A popular read then isn't served. Excluded: quarantine by control (nothing is condemned in that state). Change: of two testers for a suspect every gate takes the one with the higher digest. A line for each suspect says where it came from and who tests it.

--- a/cicadawheel/gate/guard.py
+++ b/cicadawheel/gate/guard.py
@@ -110,6 +110,7 @@
     def noticed(self, notice: CrashNotice) -> None:
         """Take what another gate of the service tells of a crash."""
         derived = self.suspects.learn(notice, self.clock.now_ms())
+        self._log_suspected(notice)
         self._condemn(derived or notice)
 
     def _died(self, notice: CrashNotice | None) -> None:
@@ -118,8 +119,20 @@
         log_event(log, "upstream_died", in_flight=len(verdicts))
         if notice is not None:
             self.peers.tell(notice)
+            self._log_suspected(notice)
             self._condemn(notice)
 
+    def _log_suspected(self, notice: CrashNotice) -> None:
+        for fingerprint in self.suspects.suspected(notice):
+            log_event(
+                log,
+                "request_suspected",
+                fingerprint=fingerprint,
+                origin=notice.origin,
+                crash=notice.number,
+                tester=self.suspects.tester(fingerprint),
+            )
+
     def _condemn(self, notice: CrashNotice) -> None:
         reason = f"crashed upstreams, last at {notice.origin}"
         for fingerprint in self.suspects.condemned(notice):
--- a/cicadawheel/gate/suspects.py
+++ b/cicadawheel/gate/suspects.py
@@ -159,6 +159,10 @@
             if verdict.state is SuspectState.CONDEMNED
         ]
 
+    def suspected(self, notice: CrashNotice) -> list[Fingerprint]:
+        """Return the requests of a notice that are suspected here."""
+        return sorted(filter(self.tester, _suspected(notice)))
+
     def report(self, now_ms: float) -> list[SuspectReport]:
         """Return the suspects for operators."""
         return [
@@ -231,8 +235,20 @@
                 del self._suspects[verdict.fingerprint]
         elif verdict.state is SuspectState.CONDEMNED:
             self._hold(verdict, now_ms + CONDEMNED_MS)
-        elif verdict.state is SuspectState.SUSPECT and known is None:
-            self._hold(verdict, now_ms + SUSPICION_MS)
+        elif verdict.state is SuspectState.SUSPECT:
+            if known is None:
+                self._hold(verdict, now_ms + SUSPICION_MS)
+            elif known.state is SuspectState.SUSPECT:
+                self._agree_on_tester(verdict, known)
+
+    def _agree_on_tester(self, verdict: SuspectVerdict, known: Suspect) -> None:
+        """Take one of two testers, the same at each gate.
+
+        A gate whose upstream has crashed names another one. Two that crash at once
+        would each leave the test to the other.
+        """
+        testers = [verdict.tester, known.tester]
+        known.tester = choose_tester(verdict.fingerprint, testers)
 
     def _hold(self, verdict: SuspectVerdict, until_ms: float) -> None:
         if len(self._suspects) >= SUSPECT_LIMIT:
--- a/test/test_gate_suspects.py
+++ b/test/test_gate_suspects.py
@@ -1,5 +1,8 @@
 """Requests that crash upstreams: at most two are lost, innocents go free."""
 
+import itertools
+from random import Random
+
 import pytest
 
 from cicadawheel.gate.suspects import ANSWERED_MS, SUSPICION_MS, Suspects, Treatment
@@ -105,6 +108,40 @@
         assert service.treatments(innocent, 1.0).count(Treatment.ALONE) == 1
 
 
+def crash_at_once(service, names, fingerprints, now_ms):
+    """Let gates crash before any of them hears of another."""
+    notices = []
+    for name in names:
+        gate = service.gates[name]
+        for fingerprint in fingerprints:
+            gate.lost(fingerprint, now_ms)
+        others = [other for other in NAMES if other != name]
+        notices.append(gate.upstream_died(others, now_ms))
+    return notices
+
+
+@pytest.mark.parametrize("names", list(itertools.permutations(NAMES, 2)))
+def test_gates_that_crash_at_once_agree_on_a_tester(service, names):
+    """Each names the other as the tester, and one of the two has to run it."""
+    for notice in crash_at_once(service, names, ["a", "b", "c"], 0.0):
+        service.tell(notice, 0.0)
+    for fingerprint in "abc":
+        assert service.treatments(fingerprint, 1.0).count(Treatment.ALONE) == 1
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_gates_agree_on_a_tester_in_whatever_order_they_hear(service, seed):
+    notices = crash_at_once(service, NAMES, ["a", "b", "c"], 0.0)
+    random = Random(seed)
+    for name, gate in service.gates.items():
+        heard = [notice for notice in notices if notice.origin != name]
+        random.shuffle(heard)
+        for notice in heard:
+            gate.learn(notice, 0.0)
+    for fingerprint in "abc":
+        assert service.treatments(fingerprint, 1.0).count(Treatment.ALONE) == 1
+
+
 def test_two_crashes_with_several_shared_requests_condemn_none(service):
     service.crash("n0", ["a", "b"], 0.0)
     service.crash("n1", ["a", "b"], 0.0)
