Proxies on the ways of a deployment belong to the bench

Change: bench/ways.py holds them; the tests' site takes them over. A stand-in can announce the port of a proxy before it, so that its announcer isn't written twice and its boot id is its own after a restart.

--- a/bench/places.py
+++ b/bench/places.py
@@ -138,8 +138,7 @@
             node_admin=admin,
             behaviour=size.behaviour,
         )
-        options_path = self._folder / f"{upstream}.json"
-        options_path.write_bytes(msgspec.json.encode(options))
+        options_path = write_options(options, self._folder)
         place = NodePlace(
             name=name,
             data_centre=data_centre,
@@ -218,5 +217,12 @@
             parser.write(file)
 
 
+def write_options(options: UpstreamOptions, folder: Path) -> Path:
+    """Write the file from which a stand-in reads who it is, and return its path."""
+    path = folder / f"{options.upstream}.json"
+    path.write_bytes(msgspec.json.encode(options))
+    return path
+
+
 def _free_address() -> Address:
     return Address(HOST, free_port())
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -50,7 +50,8 @@
 class UpstreamOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Who a stand-in is, read from a JSON file.
 
-    Without ``node_admin`` it announces itself to nobody.
+    Without ``node_admin`` it announces itself to nobody. ``announced_port`` is that of
+    a proxy before it, 0 for none.
     """
 
     upstream: str
@@ -63,6 +64,7 @@
     connections: int = 200
     seed: int = 1
     node_admin: Address | None = None
+    announced_port: int = 0
     behaviour: Behaviour = Behaviour()
 
 
--- a/bench/upstream.py
+++ b/bench/upstream.py
@@ -112,7 +112,7 @@
         boot=upstream.boot,
         service=options.service,
         version=options.version,
-        port=options.port,
+        port=options.announced_port or options.port,
         slots=options.slots,
         connections=options.connections,
     )
--- /dev/null
+++ b/bench/ways.py
@@ -0,0 +1,96 @@
+"""Fault proxies on the ways between the processes of a deployment."""
+
+import configparser
+
+import msgspec
+
+from bench.faultproxy import FaultProxy, start_proxy
+from bench.launcher import Deployment
+from bench.places import NodePlace, write_options
+from cicadawheel.settings import Address
+
+Replicas = tuple[str, str]
+"""The names of the replica that connects and of the one that listens."""
+
+
+class Ways:
+    """Puts proxies on the ways of a deployment that has not been started.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Whose settings files are rewritten.
+    """
+
+    def __init__(self, deployment: Deployment):
+        self.deployment = deployment
+        self.proxies: list[FaultProxy] = []
+        self.control_ways: dict[str, list[FaultProxy]] = {}
+        self.replica_ways: dict[Replicas, FaultProxy] = {}
+        self.upstream_proxies: dict[str, FaultProxy] = {}
+        self.peer_proxies: dict[str, FaultProxy] = {}
+
+    async def proxy(self, target: Address) -> FaultProxy:
+        """Return a new proxy before an address."""
+        proxy = await start_proxy(target)
+        self.proxies.append(proxy)
+        return proxy
+
+    def change_settings(self, name: str, section: str, key: str, value: object) -> None:
+        """Change one key in the settings file of a process."""
+        path = self.deployment.folder / f"{name}.ini"
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read(path)
+        if not parser.has_section(section):
+            parser.add_section(section)
+        parser.set(section, key, str(value))
+        with path.open("w") as file:
+            parser.write(file)
+
+    async def add_control_ways(self) -> None:
+        """Put a proxy between each node and each replica."""
+        replicas = self.deployment.replicas
+        for place in self.deployment.nodes:
+            ways = [await self.proxy(replica.stream) for replica in replicas]
+            self.control_ways[place.name] = ways
+            addresses = ", ".join(str(way.address) for way in ways)
+            self.change_settings(place.name, "node", "control_addresses", addresses)
+
+    async def add_replica_ways(self) -> None:
+        """Put a proxy on each way from one replica to another."""
+        for one in self.deployment.replicas:
+            named = []
+            for other in self.deployment.replicas:
+                address = other.replica
+                if one is not other:
+                    way = await self.proxy(other.replica)
+                    self.replica_ways[one.name, other.name] = way
+                    address = way.address
+                named.append(f"{other.name}={address}")
+            self.change_settings(one.name, "control", "replicas", ", ".join(named))
+
+    async def add_upstream_proxies(self) -> None:
+        """Put a proxy between each node and its upstream."""
+        for place in self.deployment.nodes:
+            proxy = await self.proxy(place.upstream_address)
+            self.upstream_proxies[place.name] = proxy
+            _announce_at(place, proxy.address.port, self.deployment)
+
+    async def add_peer_proxies(self) -> None:
+        """Put a proxy before each node, on the ways of the other nodes."""
+        for place in self.deployment.nodes:
+            proxy = await self.proxy(place.peer)
+            self.peer_proxies[place.name] = proxy
+            key = "advertised_peer_address"
+            self.change_settings(place.name, "node", key, proxy.address)
+
+    async def close_proxies(self) -> None:
+        """Close all proxies and reset their connections."""
+        for proxy in self.proxies:
+            await proxy.close()
+
+
+def _announce_at(place: NodePlace, port: int, deployment: Deployment) -> None:
+    """Let an upstream announce itself at another port than its own."""
+    place.options = msgspec.structs.replace(place.options, announced_port=port)
+    write_options(place.options, deployment.folder)
--- a/test/processes.py
+++ b/test/processes.py
@@ -1,7 +1,6 @@
 """Fixtures: real processes on loopback, with fault proxies in their ways."""
 
 import asyncio
-import configparser
 import contextlib
 import signal
 import time
@@ -11,13 +10,12 @@
 import pytest
 from site_calls import BOOK, CONDITION_TIMEOUT_MS, READ, RESEND_PAUSE_S, SiteCalls
 
-from bench.announcer import Announcer
 from bench.behaviour import Behaviour
-from bench.faultproxy import Direction, Faults, start_proxy
+from bench.faultproxy import Direction, Faults
 from bench.launcher import Deployment, wait_for
 from bench.process import Process, stop_all
 from bench.topology import EXAMPLES, Override, ServiceSize, Topology
-from cicadawheel.announcement import Announcement
+from bench.ways import Ways
 from cicadawheel.configuration import DataCentreState
 from cicadawheel.control.command import SetDataCentre
 from cicadawheel.errors import CicadawheelError
@@ -59,24 +57,6 @@
     )
 
 
-class ProxiedUpstream:
-    """Announces an upstream at the address of a fault proxy before it."""
-
-    def __init__(self, place, proxy):
-        self.place = place
-        self.proxy = proxy
-        announcement = Announcement(
-            upstream=place.options.upstream,
-            boot=f"boot-{place.name}",
-            service=place.service,
-            version=place.options.version,
-            port=proxy.address.port,
-            slots=place.options.slots,
-            connections=place.options.connections,
-        )
-        self.announcer = Announcer(place.admin, announcement)
-
-
 class CallStream:
     """Calls through some nodes, a few at any time, until it is ended."""
 
@@ -101,19 +81,13 @@
         return self.ends
 
 
-class RealSite(SiteCalls):
+class RealSite(SiteCalls, Ways):
     """A deployment of real processes, the proxies in it, and its calls."""
 
     def __init__(self, topology, folder):
-        super().__init__(folder)
-        self.deployment = Deployment(topology, folder)
-        self.proxies = []
-        self.control_ways = {}
-        self.replica_ways = {}
-        self.proxied_upstreams = {}
-        self.peer_proxies = {}
+        SiteCalls.__init__(self, folder)
+        Ways.__init__(self, Deployment(topology, folder))
         self.extra = []
-        self._announcing = []
 
     @property
     def nodes(self):
@@ -123,63 +97,7 @@
     def replicas(self):
         return self.deployment.replicas
 
-    async def proxy(self, target):
-        proxy = await start_proxy(target)
-        self.proxies.append(proxy)
-        return proxy
-
-    def change_settings(self, name, section, key, value):
-        path = self.folder / f"{name}.ini"
-        parser = configparser.ConfigParser(interpolation=None)
-        parser.read(path)
-        if not parser.has_section(section):
-            parser.add_section(section)
-        parser.set(section, key, value)
-        with path.open("w") as file:
-            parser.write(file)
-
-    async def add_control_ways(self):
-        """Put a proxy between each node and each replica."""
-        for place in self.nodes:
-            ways = [await self.proxy(replica.stream) for replica in self.replicas]
-            self.control_ways[place.name] = ways
-            addresses = ", ".join(str(way.address) for way in ways)
-            self.change_settings(place.name, "node", "control_addresses", addresses)
-
-    async def add_replica_ways(self):
-        """Put a proxy on each way from one replica to another."""
-        for one in self.replicas:
-            named = []
-            for other in self.replicas:
-                address = other.replica
-                if one is not other:
-                    way = await self.proxy(other.replica)
-                    self.replica_ways[one.name, other.name] = way
-                    address = way.address
-                named.append(f"{other.name}={address}")
-            self.change_settings(one.name, "control", "replicas", ", ".join(named))
-
-    async def add_upstream_proxies(self):
-        """Put a proxy between each node and its upstream."""
-        for place in self.nodes:
-            options = msgspec.structs.replace(place.options, node_admin=None)
-            path = self.folder / f"{options.upstream}.json"
-            path.write_bytes(msgspec.json.encode(options))
-            proxy = await self.proxy(place.upstream_address)
-            self.proxied_upstreams[place.name] = ProxiedUpstream(place, proxy)
-
-    async def add_peer_proxies(self):
-        """Put a proxy before each node, on the ways of the other nodes."""
-        for place in self.nodes:
-            proxy = await self.proxy(place.peer)
-            self.peer_proxies[place.name] = proxy
-            key = "advertised_peer_address"
-            self.change_settings(place.name, "node", key, str(proxy.address))
-
     async def start(self):
-        for proxied in self.proxied_upstreams.values():
-            task = asyncio.ensure_future(proxied.announcer.run())
-            self._announcing.append(task)
         await self.deployment.start()
         outcome = await self.deployment.apply_answers()
         await self.deployment.wait_in_force(outcome.revision)
@@ -216,12 +134,9 @@
 
     async def close(self):
         await stop_all(self.extra)
-        for task in self._announcing:
-            task.cancel()
         self.close_callers()
         await self.deployment.__aexit__(None, None, None)
-        for proxy in self.proxies:
-            await proxy.close()
+        await self.close_proxies()
 
     async def wait_members(self, count, nodes=None):
         """Wait until nodes' views hold this many members."""
--- a/test/test_proof_answers.py
+++ b/test/test_proof_answers.py
@@ -75,7 +75,7 @@
 def proxies_at(site, where):
     if where == "peers":
         return list(site.peer_proxies.values())
-    return [proxied.proxy for proxied in site.proxied_upstreams.values()]
+    return list(site.upstream_proxies.values())
 
 
 def ends_hit(where, fault, calls, ends):
