A booking that waits for its claim outlives the lease of its entry

Cause of the listed failure (a booking beside a frozen replica ended as "may have run"): a node whose replica is frozen needs up to two seconds to reach another one; its lease of 2.5 s may run out meanwhile, more so on a busy machine. Its open claims then turn into "may have run", and claims that it asks for under its old epoch are refused, which the caller was told as 409, though nothing had been dispatched. Change: control says when it refuses for the epoch; the node then asks again under its new one, and the fenced claim of the same attempt is opened again, since a node asks only for what it hasn't dispatched. One whose answer is lost is not.

--- a/cicadawheel/control/command.py
+++ b/cicadawheel/control/command.py
@@ -237,7 +237,8 @@
     ``revision`` is the configuration's revision afterwards, ``winner`` the
     operation that a conflicting command lost to. ``epoch`` answers a
     registration. ``claim`` and ``answer`` answer an `OpenClaim` whose key is
-    known already; a fresh claim is ``DONE`` with ``claim`` None.
+    known already; a fresh claim is ``DONE`` with ``claim`` None. ``fenced`` says that
+    the owner has registered anew since, or has to: it may ask under its new epoch.
     """
 
     state: OutcomeState
@@ -247,3 +248,4 @@
     epoch: Epoch = Epoch(0)
     claim: ClaimState | None = None
     answer: StoredAnswer | None = None
+    fenced: bool = False
--- a/cicadawheel/control/state/claims.py
+++ b/cicadawheel/control/state/claims.py
@@ -29,6 +29,8 @@
     """One request that must never repeat, and what became of it.
 
     A change replaces the claim, so that a snapshot being encoded keeps the old one.
+    ``fenced`` says that it may have run for all that is known, since its owner's
+    lease ran out while it was open.
     """
 
     service: ServiceName
@@ -40,6 +42,7 @@
     opened_at_ms: int
     state: ClaimState = ClaimState.OPEN
     answer: StoredAnswer | None = None
+    fenced: bool = False
 
 
 class ClaimsSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -71,7 +74,9 @@
     def open(self, command: OpenClaim, now_ms: int) -> Claim | None:
         """Open a claim and return None, or return the one that is known.
 
-        Opening is idempotent for the same owner, epoch and attempt.
+        Opening is idempotent for the same owner, epoch and attempt. An owner that was
+        fenced may open the claim of an attempt again under its new epoch: it asks only
+        for what it hasn't dispatched.
 
         Raises
         ------
@@ -87,7 +92,11 @@
             return None
         if known.body_digest != command.body_digest:
             raise _refuse(command, "was used for a request with another body")
-        return None if _is_same_attempt(known, command) else known
+        if not _is_same_attempt(known, command):
+            return known
+        if known.fenced:
+            self._reopen(known, command)
+        return None
 
     def finish(self, command: FinishClaim) -> None:
         """Store what became of a claimed request.
@@ -105,9 +114,10 @@
             return
         self._close(claim)
         if command.may_have_run:
-            self._put(replace(claim, state=ClaimState.MAY_HAVE_RUN))
+            state = ClaimState.MAY_HAVE_RUN
+            self._put(replace(claim, state=state, fenced=False))
             return
-        finished = replace(claim, state=ClaimState.FINISHED)
+        finished = replace(claim, state=ClaimState.FINISHED, fenced=False)
         self._put(finished)
         if len(command.body) <= ANSWER_LIMIT_BYTES:
             answer = StoredAnswer(command.status, command.headers, command.body)
@@ -131,7 +141,7 @@
         """Turn a node's open claims into ones that may have run."""
         for name in self._open_by_owner.pop(owner, ()):
             claim = self.claims[name]
-            self._put(replace(claim, state=ClaimState.MAY_HAVE_RUN))
+            self._put(replace(claim, state=ClaimState.MAY_HAVE_RUN, fenced=True))
 
     def expire(self, now_ms: int) -> None:
         """Replace the claims older than the window by digests of their keys."""
@@ -196,6 +206,17 @@
         self._opened.append((now_ms, name))
         self._open_by_owner.setdefault(command.owner, set()).add(name)
 
+    def _reopen(self, claim: Claim, command: OpenClaim) -> None:
+        reopened = replace(
+            claim,
+            state=ClaimState.OPEN,
+            owner_epoch=command.owner_epoch,
+            fenced=False,
+        )
+        self._put(reopened)
+        name = (claim.service, claim.key)
+        self._open_by_owner.setdefault(claim.owner, set()).add(name)
+
     def _owned(self, command: FinishClaim | ReleaseClaim) -> Claim:
         claim = self.claims.get((command.service, command.key))
         if claim is None:
@@ -263,13 +284,14 @@
 
 
 def _is_same_attempt(claim: Claim, command: OpenClaim) -> bool:
-    return (
-        claim.state is ClaimState.OPEN
-        and command.attempt != ""
-        and claim.attempt == command.attempt
-        and claim.owner == command.owner
-        and claim.owner_epoch == command.owner_epoch
-    )
+    if not command.attempt or claim.attempt != command.attempt:
+        return False
+    if claim.owner != command.owner:
+        return False
+    if claim.fenced:
+        return True
+    is_open = claim.state is ClaimState.OPEN
+    return is_open and claim.owner_epoch == command.owner_epoch
 
 
 def _size_bytes(answer: StoredAnswer) -> int:
--- a/cicadawheel/control/state/machine.py
+++ b/cicadawheel/control/state/machine.py
@@ -209,7 +209,8 @@
 
     def _open_claim(self, index: LogIndex, command: OpenClaim) -> Outcome:
         if not self._members.is_current(command.owner, command.owner_epoch):
-            raise _fenced(command.owner, command.owner_epoch)
+            refusal = _fenced(command.owner, command.owner_epoch)
+            return msgspec.structs.replace(self._refused(refusal), fenced=True)
         known = self.claims.open(command, self.now_ms)
         if known is None:
             return self._done()
--- a/cicadawheel/node/claims.py
+++ b/cicadawheel/node/claims.py
@@ -32,7 +32,7 @@
 
 
 class NodeClaims:
-    """Claims requests with control, under the epoch at which each was opened.
+    """Claims requests with control, each under the epoch at which it was opened last.
 
     Parameters
     ----------
@@ -133,10 +133,11 @@
 
     def _make_open(self, request: ClaimRequest) -> MakeMessage:
         def make(number: int) -> ClaimOpen:
+            self._epochs[request] = self.link.epoch
             return ClaimOpen(
                 number,
                 self.link.node,
-                self._epochs.setdefault(request, self.link.epoch),
+                self.link.epoch,
                 request.service,
                 request.key,
                 request.body_digest,
@@ -171,8 +172,9 @@
     async def _ask_until_answered(self, make: MakeMessage) -> Outcome:
         while True:
             answer = await self._ask(make)
-            if answer is not None and answer.outcome is not None:
-                return answer.outcome
+            outcome = None if answer is None else answer.outcome
+            if outcome is not None and not outcome.fenced:
+                return outcome
             await asyncio.sleep(RETRY_DELAY_MS / MS_PER_S)
 
     async def _ask(self, make: MakeMessage) -> ClaimAnswer | None:
--- /dev/null
+++ b/test/test_proof_lease.py
@@ -0,0 +1,49 @@
+"""Requests that must never repeat while the lease of their node runs out."""
+
+import asyncio
+
+import pytest
+from processes import FROZEN, THAWED, make_topology
+from site_calls import BOOK
+
+from bench.calls import CallOutcome
+from bench.launcher import wait_for
+
+LEASE_OVER_MS = 5_000
+
+
+@pytest.fixture(scope="module")
+def site(start_site):
+    return start_site(make_topology(booking=3), add_ways)
+
+
+async def add_ways(site):
+    await site.add_control_ways()
+
+
+async def wait_expired(site, name):
+    """Wait until control has taken a node from its members."""
+
+    async def expired():
+        return all(member["node"] != name for member in await site.members())
+
+    await wait_for(expired, "the lease runs out", LEASE_OVER_MS)
+
+
+@pytest.mark.parametrize("count", [1, 8])
+def test_booking_outlives_the_lease_of_its_entry(runner, site, count):
+    """The booking has not run when the lease runs out, and is served after it."""
+
+    async def work():
+        place = site.nodes[0]
+        for way in site.control_ways[place.name]:
+            way.set_faults(FROZEN)
+        calls = [site.make_call(BOOK) for _ in range(count)]
+        sent = [asyncio.ensure_future(site.outcome(place, call)) for call in calls]
+        await wait_expired(site, place.name)
+        for way in site.control_ways[place.name]:
+            way.set_faults(THAWED)
+        assert set(await asyncio.gather(*sent)) == {CallOutcome.ANSWERED}
+        await site.wait_members(len(site.nodes))
+
+    runner.run(work())
--- a/test/test_state_claims.py
+++ b/test/test_state_claims.py
@@ -116,6 +116,37 @@
     assert second.open() == (OutcomeState.DONE, ClaimState.MAY_HAVE_RUN)
 
 
+def test_fenced_owner_opens_the_claim_of_its_attempt_again(driver, first, second):
+    """The node asks only for what it has not dispatched."""
+    assert first.open(attempt="a1") == FRESH
+    driver.register("n1")
+    driver.restart()
+    refused = first.send(OpenClaim, body_digest="b", attempt="a1")
+    assert (refused.state, refused.fenced) == (OutcomeState.REFUSED, True)
+    again = Entry(driver, "n1")
+    assert again.open(attempt="a2") == (OutcomeState.DONE, ClaimState.MAY_HAVE_RUN)
+    assert again.open(attempt="a1") == FRESH
+    assert second.open() == (OutcomeState.DONE, ClaimState.OPEN)
+    assert again.finish(attempt="a1") is OutcomeState.DONE
+    assert second.open() == (OutcomeState.DONE, ClaimState.FINISHED)
+
+
+def test_reopened_claim_is_fenced_again(driver, first, second):
+    first.open(attempt="a1")
+    driver.register("n1")
+    Entry(driver, "n1").open(attempt="a1")
+    driver.register("n1")
+    assert second.open() == (OutcomeState.DONE, ClaimState.MAY_HAVE_RUN)
+
+
+def test_claim_whose_answer_was_lost_is_not_opened_again(driver, first, second):
+    first.open(attempt="a1")
+    first.finish(attempt="a1", may_have_run=True)
+    driver.register("n1")
+    again = Entry(driver, "n1")
+    assert again.open(attempt="a1") == (OutcomeState.DONE, ClaimState.MAY_HAVE_RUN)
+
+
 def test_fenced_owner_may_still_tell_the_answer(driver, first, second):
     first.open()
     driver.register("n1")
