A soak of real processes under faults from outside, checked while it runs

Change: bench soak draws kills, stops, pauses, series of stops, delayed, one-way, silent and reset connections on all ways, slow and full disks, losses of power with what was not synced, of one replica or all, and steps of the clock; operators change and read the configuration in pairs meanwhile. It checks while it runs what callers, upstreams and operators see. The scheduler is shared with chaos.

--- a/bench/experiments/chaos.py
+++ b/bench/experiments/chaos.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
+from functools import partial
 
 import msgspec
 
 from bench.arrivals import PoissonArrivals
 from bench.calls import CallKind
-from bench.disturbances import Disturbance, draw_disturbance, run_disturbance
+from bench.disturbances import draw_disturbance
 from bench.experiment import Experiment, Findings, at_most
 from bench.history import OutPeriod, RevisionWatch, check_history
 from bench.launcher import Deployment
@@ -15,6 +16,7 @@
 from bench.load_result import LoadResult
 from bench.progress import report
 from bench.record import RecordKind, count_kind
+from bench.scheduler import SchedulePlan, Scheduler
 from bench.serving import serve
 from bench.standin import CRASH_EXIT_CODE
 from bench.topology import KUSHIRO_CALLS, kushiro
@@ -30,52 +32,7 @@
 CRASH_ATTEMPTS = 6
 AFTER_MS = 5_000.0
 ATTEMPTS = 8
-CONTROL_PREFIX = "control-"
-
-
-class _Scheduler:
-    """Begins disturbances at random times, a few at once, none at one place twice."""
-
-    def __init__(self, deployment: Deployment, rng: random.Random):
-        self.deployment = deployment
-        self.periods: list[OutPeriod] = []
-        self.begun = 0
-        self.ended_early = 0
-        self._rng = rng
-        self._active: dict[str, asyncio.Task] = {}
-
-    async def run(self, duration_s: float) -> None:
-        """Disturb for a while, then wait until all is healed."""
-        loop = asyncio.get_running_loop()
-        ends_s = loop.time() + duration_s
-        while loop.time() < ends_s:
-            self._begin()
-            await asyncio.sleep(self._rng.uniform(*INTERVAL_S))
-        await asyncio.gather(*self._active.values())
-
-    def _begin(self) -> None:
-        disturbance = draw_disturbance(self.deployment, self.periods, self._rng)
-        lasts_s = self._rng.uniform(*LASTS_S)
-        if not self._may_begin(disturbance):
-            return
-        self.begun += 1
-        kind = type(disturbance).__name__
-        report("disturbed", kind=kind, place=disturbance.place, lasts_s=lasts_s)
-        task = asyncio.ensure_future(run_disturbance(disturbance, lasts_s))
-        self._active[disturbance.place] = task
-        task.add_done_callback(lambda done: self._end(disturbance.place, done))
-
-    def _end(self, place: str, done: asyncio.Task) -> None:
-        del self._active[place]
-        if not done.cancelled() and done.exception() is None and not done.result():
-            self.ended_early += 1
-
-    def _may_begin(self, disturbance: Disturbance) -> bool:
-        place = disturbance.place
-        if place in self._active or len(self._active) >= AT_ONCE:
-            return False
-        control = sum(1 for name in self._active if name.startswith(CONTROL_PREFIX))
-        return not place.startswith(CONTROL_PREFIX) or control < CONTROL_AT_ONCE
+PLAN = SchedulePlan(INTERVAL_S, LASTS_S, AT_ONCE, CONTROL_AT_ONCE)
 
 
 def _plan(deployment: Deployment, name: str, duration_ms: float, seed: int) -> LoadPlan:
@@ -135,21 +92,20 @@
     topology = msgspec.structs.replace(kushiro(), seed=seed)
     async with serve(topology) as deployment:
         watch = RevisionWatch(deployment)
+        periods: list[OutPeriod] = []
         helpers = [
             asyncio.ensure_future(watch.run()),
             asyncio.ensure_future(_restart_crashed(deployment)),
         ]
         try:
-            scheduler, results = await _disturb(deployment, seed)
+            scheduler, results = await _disturb(deployment, seed, periods)
             await deployment.wait_registered(topology.nodes)
             after = await run_load(_plan(deployment, "after", AFTER_MS, seed + 1))
         finally:
             for helper in helpers:
                 helper.cancel()
         records = deployment.records()
-    history = check_history(
-        [*results, after], records, scheduler.periods, watch.lowered
-    )
+    history = check_history([*results, after], records, periods, watch.lowered)
     figures = {
         name: float(value) for name, value in msgspec.to_builtins(history).items()
     }
@@ -172,9 +128,11 @@
 
 
 async def _disturb(
-    deployment: Deployment, seed: int
-) -> tuple[_Scheduler, list[LoadResult]]:
-    scheduler = _Scheduler(deployment, random.Random(seed))
+    deployment: Deployment, seed: int, periods: list[OutPeriod]
+) -> tuple[Scheduler, list[LoadResult]]:
+    rng = random.Random(seed)
+    draw = partial(draw_disturbance, deployment, periods, rng)
+    scheduler = Scheduler(PLAN, draw, rng)
     load = Load(_plan(deployment, "chaos", CHAOS_S * MS_PER_S, seed))
     async with asyncio.TaskGroup() as group:
         loading = group.create_task(load.run())
--- a/bench/faultproxy.py
+++ b/bench/faultproxy.py
@@ -109,6 +109,7 @@
         self._server: asyncio.Server | None = None
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._connections: set[asyncio.Task] = set()
 
     @property
     def address(self) -> Address:
@@ -137,6 +138,10 @@
         """Stop listening and reset all connections."""
         self._server.close()
         self.cut()
+        for task in self._connections:
+            task.cancel()
+        if self._connections:
+            await asyncio.wait(self._connections)
         await self._server.wait_closed()
 
     def draw_delay_ms(self) -> float:
@@ -157,12 +162,16 @@
     async def _on_connection(self, reader, writer) -> None:
         self.accepted += 1
         self._writers.add(writer)
+        task = asyncio.current_task()
+        self._connections.add(task)
+        task.add_done_callback(self._connections.discard)
         try:
             if self.faults.refuse:
                 reset(writer)
                 return
             await self._forward(reader, writer)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # Only `close` cancels; it waits for the end of this task.
             reset(writer)
         finally:
             self._writers.discard(writer)
--- a/bench/load.py
+++ b/bench/load.py
@@ -7,7 +7,6 @@
 import asyncio
 import gc
 import random
-import time
 from collections.abc import Sequence
 
 import msgspec
@@ -16,8 +15,8 @@
 from bench.caller import Caller
 from bench.calls import Call, CallDrawer, CallKind, CallOutcome, Reply, judge
 from bench.content import HEADER_DATA_CENTRE, HEADER_UPSTREAM, HEADER_VERSION
-from bench.load_result import CallRecord, LoadResult
-from bench.pacing import Pacer, now_ms
+from bench.load_result import CallRecord, LoadResult, LostAttempt
+from bench.pacing import Pacer, now_ms, unix_ms
 from cicadawheel.errors import ConnectionLostError
 from cicadawheel.settings import Address
 from cicadawheel.timer import MS_PER_S
@@ -91,7 +90,7 @@
 
     async def _call(self, call: Call, entry: int, at_ms: float) -> None:
         due_ms = self._started_ms + at_ms
-        unix_ms = int(time.time() * MS_PER_S)
+        sent_at_ms = unix_ms()
         refused = []
         attempts = 0
         while True:
@@ -109,7 +108,7 @@
             token=call.token,
             kind=call.kind.name,
             key=call.key,
-            sent_at_ms=unix_ms,
+            sent_at_ms=sent_at_ms,
             latency_ms=now_ms() - due_ms,
             outcome=outcome,
             attempts=attempts,
@@ -123,10 +122,14 @@
 
     async def _attempt(self, call: Call, entry: int, attempt: str) -> Reply | None:
         limit_s = (call.kind.deadline_ms + GRACE_MS) / MS_PER_S
+        began_ms = unix_ms()
         try:
             async with asyncio.timeout(limit_s):
                 return await self._callers[entry].exchange(call, attempt)
-        except (ConnectionLostError, TimeoutError):
+        except (ConnectionLostError, TimeoutError) as error:
+            timed_out = isinstance(error, TimeoutError)
+            lost = LostAttempt(attempt, entry, began_ms, unix_ms(), timed_out)
+            self.result.lost.append(lost)
             return None
 
 
--- a/bench/load_result.py
+++ b/bench/load_result.py
@@ -30,6 +30,19 @@
     data_centre: str
 
 
+class LostAttempt(msgspec.Struct, frozen=True):
+    """A sending whose connection ended, or that got no answer in time.
+
+    ``entry`` is its place in the plan's entries; the times are Unix times.
+    """
+
+    attempt: str
+    entry: int
+    began_ms: int
+    ended_ms: int
+    timed_out: bool
+
+
 class Counts(msgspec.Struct, frozen=True):
     """How many calls ended in each way."""
 
@@ -56,6 +69,7 @@
         self.name = name
         self.duration_ms = 0.0
         self.records: list[CallRecord] = []
+        self.lost: list[LostAttempt] = []
         self.answered_us = make_histogram()
         self.refused_us = make_histogram()
 
@@ -88,6 +102,7 @@
         """Add the calls of another load."""
         self.duration_ms += other.duration_ms
         self.records += other.records
+        self.lost += other.lost
         self.answered_us.add(other.answered_us)
         self.refused_us.add(other.refused_us)
 
--- a/bench/pacing.py
+++ b/bench/pacing.py
@@ -15,6 +15,11 @@
     return time.perf_counter() * MS_PER_S
 
 
+def unix_ms() -> int:
+    """Return milliseconds since the Unix epoch, as upstreams write them down."""
+    return int(time.time() * MS_PER_S)
+
+
 class Pacer:
     """Calls back at each intended time, whatever the earlier calls do."""
 
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Long random runs of real processes under faults that come from outside."""
--- /dev/null
+++ b/bench/soak/promises.py
@@ -0,0 +1,127 @@
+"""What must hold during a soak, from what callers, upstreams and operators see."""
+
+import msgspec
+
+from bench.history import (
+    LATE_GRACE_MS,
+    OutPeriod,
+    check_history,
+    count_late_leaving,
+)
+from bench.load_result import LoadResult, LostAttempt
+from bench.places import NodePlace
+from bench.record import Record, RecordKind, count_kind
+from bench.scheduler import Trouble
+
+QUIET_MS = 3_000
+"""A fault may show for so long after it has ended."""
+
+PLANNED = ("Stopped", "Rolled")
+
+
+class Promises(msgspec.Struct, frozen=True):
+    """How often each promise was broken.
+
+    Late work counts at upstreams whose node was in touch all the time, and an answer
+    that a planned stop cut if no fault was near. ``held`` are calls that had no answer
+    a second after their deadline, at entries in touch.
+    """
+
+    wrong: int = 0
+    ran_twice: int = 0
+    refused_but_ran: int = 0
+    late_work_out: int = 0
+    late_work_leaving: int = 0
+    crash_excess: int = 0
+    overloads: int = 0
+    revisions_lowered: int = 0
+    cut_by_stop: int = 0
+    held: int = 0
+    old_reads: int = 0
+    races_won_twice: int = 0
+    newest_lost: int = 0
+    not_served_after: int = 0
+
+    def broken(self) -> dict[str, int]:
+        """Return the promises that were broken, and how often."""
+        counts = msgspec.structs.asdict(self)
+        return {name: count for name, count in counts.items() if count}
+
+
+class Witness:
+    """Compares what was seen so far with what was promised.
+
+    Parameters
+    ----------
+    nodes : list of NodePlace
+        The entries, in the order in which the load numbers them.
+    troubles : list of Trouble
+        All disturbances so far.
+    periods : list of OutPeriod
+        When data centres were out.
+    """
+
+    def __init__(
+        self,
+        nodes: list[NodePlace],
+        troubles: list[Trouble],
+        periods: list[OutPeriod],
+    ):
+        self._nodes = nodes
+        self._troubles = troubles
+        self._periods = periods
+        self._places = {place.options.upstream: place for place in nodes}
+
+    def check(self, result: LoadResult, records: list[Record]) -> Promises:
+        """Return what calls and upstreams show."""
+        in_touch = [record for record in records if self._is_in_touch(record)]
+        history = check_history([result], records, [], 0)
+        ran = {record.attempt for record in records if record.kind is RecordKind.RUN}
+        return Promises(
+            wrong=history.wrong,
+            ran_twice=history.ran_twice,
+            refused_but_ran=history.refused_but_ran,
+            late_work_out=sum(
+                period.late_work(in_touch, LATE_GRACE_MS) for period in self._periods
+            ),
+            late_work_leaving=count_late_leaving(in_touch),
+            crash_excess=history.crash_excess,
+            overloads=count_kind(records, RecordKind.OVERLOAD),
+            cut_by_stop=sum(self._is_cut(lost, ran) for lost in result.lost),
+            held=sum(self._is_held(lost) for lost in result.lost),
+        )
+
+    def _is_in_touch(self, record: Record) -> bool:
+        """Return whether the node of a record's upstream was not disturbed of late.
+
+        A departure is always taken in: it says from when on work is late.
+        """
+        if record.kind is RecordKind.LEFT:
+            return True
+        place = self._places[record.upstream]
+        since_ms = record.at_ms - LATE_GRACE_MS - QUIET_MS
+        return not self._is_disturbed(place, since_ms, record.at_ms)
+
+    def _is_disturbed(self, place: NodePlace, from_ms: int, to_ms: int) -> bool:
+        names = (place.name, place.options.upstream)
+        return any(
+            trouble.place in names or trouble.place.startswith("control-")
+            for trouble in self._troubles
+            if trouble.overlaps(from_ms, to_ms)
+        )
+
+    def _is_cut(self, lost: LostAttempt, ran: set[str]) -> bool:
+        """Return whether a planned stop of its entry cut a call that was passed on."""
+        if lost.timed_out or lost.attempt not in ran:
+            return False
+        since_ms = lost.began_ms - QUIET_MS
+        near = [one for one in self._troubles if one.overlaps(since_ms, lost.ended_ms)]
+        stops = [one for one in near if one.kind in PLANNED]
+        return bool(stops) and len(near) == len(stops)
+
+    def _is_held(self, lost: LostAttempt) -> bool:
+        if not lost.timed_out:
+            return False
+        place = self._nodes[lost.entry]
+        since_ms = lost.began_ms - QUIET_MS
+        return not self._is_disturbed(place, since_ms, lost.ended_ms)
--- /dev/null
+++ b/bench/soak/run.py
@@ -0,0 +1,197 @@
+"""Runs soaks: one for each seed, each checked while it runs and at its end."""
+
+import asyncio
+import random
+import shutil
+import tempfile
+from functools import partial
+from pathlib import Path
+
+import msgspec
+
+from bench.arrivals import PoissonArrivals
+from bench.history import OutPeriod, RevisionWatch
+from bench.launcher import Deployment, wait_for
+from bench.load import Load, LoadPlan, run_load
+from bench.load_result import LoadResult
+from bench.progress import report
+from bench.record import read_records
+from bench.scheduler import SchedulePlan, Scheduler
+from bench.soak.faults import draw_fault
+from bench.soak.operators import Operators
+from bench.soak.promises import Promises, Witness
+from bench.soak.site import SoakSite, soak_topology
+from bench.topology import KUSHIRO_CALLS
+from cicadawheel.timer import MS_PER_S
+
+RATE_PER_S = 60.0
+ATTEMPTS = 6
+CHECK_INTERVAL_S = 2.0
+RECOVERY_MS = 15_000.0
+AFTER_MS = 2_000.0
+START_AGAIN_S = 0.5
+SCHEDULE = SchedulePlan(
+    interval_s=(0.3, 2.0), lasts_s=(0.3, 5.0), at_once=4, control_at_once=2
+)
+
+
+class SoakPlan(msgspec.Struct, frozen=True):
+    """One soak."""
+
+    seed: int
+    nodes: int = 8
+    duration_s: float = 20.0
+
+
+class SoakResult(msgspec.Struct, frozen=True):
+    """What one soak showed."""
+
+    seed: int
+    promises: Promises
+    calls: int
+    answered: int
+    disturbances: int
+    changes: int
+    reads: int
+
+
+def run_soaks(plans: list[SoakPlan], keep: Path | None) -> int:
+    """Run soaks one after another; return 0, or 1 if a promise was broken.
+
+    ``keep`` is where the folder of each broken one is moved.
+    """
+    broken_seeds = []
+    for plan in plans:
+        with tempfile.TemporaryDirectory(prefix="cicadawheel-soak-") as name:
+            folder = Path(name) / f"seed-{plan.seed}"
+            folder.mkdir()
+            result = asyncio.run(run_soak(plan, folder))
+            broken = result.promises.broken()
+            counts = msgspec.structs.asdict(result)
+            del counts["promises"]
+            report("soak_done", **counts, broken=len(broken), **broken)
+            if broken:
+                broken_seeds.append(plan.seed)
+                if keep is not None:
+                    shutil.copytree(folder, keep / folder.name, dirs_exist_ok=True)
+    report("soaks_done", seeds=len(plans), broken=",".join(map(str, broken_seeds)))
+    return int(bool(broken_seeds))
+
+
+async def run_soak(plan: SoakPlan, folder: Path) -> SoakResult:
+    """Run one soak in a folder, which keeps its logs and records.
+
+    Raises
+    ------
+    CicadawheelError, TimeoutError
+        The deployment could not be started.
+    """
+    topology = soak_topology(plan.nodes, plan.seed)
+    site = SoakSite(Deployment(topology, folder))
+    try:
+        await site.start()
+        return await _disturb(site, plan)
+    finally:
+        await site.close()
+
+
+async def _disturb(site: SoakSite, plan: SoakPlan) -> SoakResult:
+    rng = random.Random(plan.seed)
+    periods: list[OutPeriod] = []
+    scheduler = Scheduler(SCHEDULE, partial(draw_fault, site, periods, rng), rng)
+    witness = Witness(site.deployment.nodes, scheduler.troubles, periods)
+    operators = Operators(site.deployment, random.Random(plan.seed))
+    watch = RevisionWatch(site.deployment)
+    load = Load(_plan_load(site, "soak", plan.duration_s * MS_PER_S, plan.seed))
+    helpers = [
+        asyncio.ensure_future(work)
+        for work in (
+            operators.run(),
+            watch.run(),
+            _start_again(site),
+            _check_often(site, witness, load.result),
+        )
+    ]
+    try:
+        await asyncio.gather(load.run(), scheduler.run(plan.duration_s))
+        after = await _wait_served(site, plan.seed)
+        kept = await operators.newest_is_kept()
+        for helper in helpers:
+            if helper.done():
+                helper.result()
+    finally:
+        for helper in helpers:
+            helper.cancel()
+        load.close()
+    promises = msgspec.structs.replace(
+        witness.check(load.result, read_records(site.deployment.folder)),
+        revisions_lowered=watch.lowered,
+        old_reads=operators.old_reads,
+        races_won_twice=operators.races_won_twice,
+        newest_lost=int(not kept),
+        not_served_after=len(after.records) - after.counts().answered,
+    )
+    return SoakResult(
+        seed=plan.seed,
+        promises=promises,
+        calls=len(load.result.records),
+        answered=load.result.counts().answered,
+        disturbances=scheduler.begun,
+        changes=len(operators.acknowledged),
+        reads=operators.reads,
+    )
+
+
+def _plan_load(site: SoakSite, name: str, duration_ms: float, seed: int) -> LoadPlan:
+    return LoadPlan(
+        name=name,
+        entries=site.deployment.entries(),
+        kinds=KUSHIRO_CALLS,
+        arrivals=PoissonArrivals(RATE_PER_S),
+        duration_ms=duration_ms,
+        seed=seed,
+        attempts=ATTEMPTS,
+    )
+
+
+async def _wait_served(site: SoakSite, seed: int) -> LoadResult:
+    """Return a load that was answered whole, or the last one tried."""
+    results: list[LoadResult] = []
+
+    async def served() -> bool:
+        number = len(results) + 1
+        plan = _plan_load(site, f"after-{number}", AFTER_MS, seed + number)
+        results.append(await run_load(plan))
+        return results[-1].counts().answered == len(results[-1].records)
+
+    try:
+        await wait_for(served, "all calls answered", RECOVERY_MS)
+    except TimeoutError as error:
+        report("soak_not_recovered", seed=seed, reason=error)
+    return results[-1]
+
+
+async def _start_again(site: SoakSite) -> None:
+    """Start processes again that have ended by themselves, as the platform does.
+
+    Those that a disturbance has ended are started by it.
+    """
+    while True:
+        for process in site.deployment.processes:
+            code = process.exit_code
+            if code is not None and code > 0:
+                report("process_ended", place=process.name, code=code)
+                process.start()
+        await asyncio.sleep(START_AGAIN_S)
+
+
+async def _check_often(site: SoakSite, witness: Witness, result: LoadResult) -> None:
+    """Report broken promises as soon as they show."""
+    seen: dict[str, int] = {}
+    while True:
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        records = read_records(site.deployment.folder)
+        broken = witness.check(result, records).broken()
+        if broken != seen:
+            report("promise_broken", **broken)
+            seen = broken
--- /dev/null
+++ b/bench/soak/site.py
@@ -0,0 +1,81 @@
+"""What a soak disturbs: a deployment, proxies on its ways, faulty machines."""
+
+from pathlib import Path
+
+import msgspec
+
+from bench.launcher import Deployment
+from bench.machine import FaultFile
+from bench.places import ReplicaPlace
+from bench.topology import Override, Topology, kushiro
+from bench.ways import Ways
+
+REPLICAS = 5
+BOOKING_PART = 0.6
+"""The part of the upstreams that serve bookings, as in Kushiro's deployment."""
+
+LEASE_MS = 2_500
+"""A node that is gone leaves the members sooner than a fault lasts."""
+
+
+class ReplicaMachine(msgspec.Struct, frozen=True):
+    """A replica whose disk and clock can be made to misbehave."""
+
+    replica: ReplicaPlace
+    faults: FaultFile
+    data_folder: Path
+
+
+class SoakSite:
+    """The processes of a soak, started with a proxy on each way between them.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The processes, not started yet.
+    """
+
+    def __init__(self, deployment: Deployment):
+        self.deployment = deployment
+        self.ways = Ways(deployment)
+        self.machines = [self._make_machine(one) for one in deployment.replicas]
+
+    async def start(self) -> None:
+        """Place the proxies, start all processes and put the answers in force."""
+        await self.ways.add_control_ways()
+        await self.ways.add_replica_ways()
+        await self.ways.add_upstream_proxies()
+        await self.ways.add_peer_proxies()
+        await self.deployment.start()
+        outcome = await self.deployment.apply_answers()
+        await self.deployment.wait_in_force(outcome.revision)
+
+    async def close(self) -> None:
+        """End all processes and proxies."""
+        await self.deployment.__aexit__(None, None, None)
+        await self.ways.close_proxies()
+
+    def _make_machine(self, replica: ReplicaPlace) -> ReplicaMachine:
+        folder = self.deployment.folder
+        faults = FaultFile(folder / f"{replica.name}.faults")
+        process = replica.process
+        process.arguments = ["bench.machine", str(faults.path), *process.arguments[1:]]
+        return ReplicaMachine(replica, faults, folder / f"{replica.name}-data")
+
+
+def soak_topology(nodes: int, seed: int) -> Topology:
+    """Return Kushiro's deployment with this many nodes and upstreams."""
+    usual = kushiro()
+    booking = round(nodes * BOOKING_PART)
+    sizes = {"booking": booking, "materials": nodes - booking}
+    services = tuple(
+        msgspec.structs.replace(size, upstreams=sizes[size.service])
+        for size in usual.services
+    )
+    return msgspec.structs.replace(
+        usual,
+        services=services,
+        seed=seed,
+        replicas=REPLICAS,
+        overrides=(Override("control", "lease_ms", str(LEASE_MS)),),
+    )
--- a/bench/ui.py
+++ b/bench/ui.py
@@ -13,6 +13,7 @@
 from bench.experiment import EXIT_NOT_RUN, run_experiment
 from bench.experiments import experiment_names, find_experiment
 from bench.plot import plot_results
+from bench.soak.run import SoakPlan, run_soaks
 from bench.standin import UpstreamOptions
 from bench.upstream import serve_upstreams
 from cicadawheel.errors import UserError
@@ -107,6 +108,30 @@
         return run_experiment(experiment, seed, Path(out) if out else None)
 
 
+class SoakCommand(Command):
+    """Runs soaks."""
+
+    name = "soak"
+    description = "Disturbs real processes at random; exits 1 if a promise was broken."
+    options = [
+        option("seed", None, "The first seed.", flag=False, default="1"),
+        option("seeds", None, "How many seeds.", flag=False, default="1"),
+        option("nodes", None, "How many nodes.", flag=False, default="8"),
+        option("seconds", None, "How long each.", flag=False, default="20"),
+        option("keep", None, "Where logs of broken ones go.", flag=False, default=None),
+    ]
+
+    def handle(self) -> int:
+        """Run them one after another and return the exit code."""
+        first = int(self.option("seed"))
+        keep = self.option("keep")
+        plans = [
+            SoakPlan(seed, int(self.option("nodes")), float(self.option("seconds")))
+            for seed in range(first, first + int(self.option("seeds")))
+        ]
+        return run_soaks(plans, Path(keep) if keep else None)
+
+
 class PlotCommand(Command):
     """Draws results."""
 
@@ -130,6 +155,7 @@
     EchoCommand,
     ListCommand,
     RunCommand,
+    SoakCommand,
     PlotCommand,
 )
 
--- /dev/null
+++ b/test/test_soak.py
@@ -0,0 +1,115 @@
+"""The soak: its faults, its judgement, and a short run of it."""
+
+import random
+
+import msgspec
+import pytest
+
+from bench.history import OutPeriod
+from bench.launcher import Deployment
+from bench.load_result import LoadResult, LostAttempt
+from bench.machine import BLOCK_BYTES, FaultFile, MachineFaults, lose_power
+from bench.record import Record, RecordKind
+from bench.scheduler import Trouble
+from bench.soak.promises import Promises, Witness
+from bench.soak.run import SoakPlan, run_soak
+from bench.soak.seeds import BROKEN_SEEDS
+from bench.soak.site import soak_topology
+
+SHORT_S = 6.0
+
+
+@pytest.fixture
+def fault_file(tmp_path):
+    return FaultFile(tmp_path / "machine.faults")
+
+
+@pytest.fixture
+def nodes(tmp_path):
+    """Return places that are never started."""
+    return Deployment(soak_topology(8, 1), tmp_path).nodes
+
+
+def test_faults_are_seen_when_they_change(fault_file):
+    assert fault_file.read() == MachineFaults()
+    for faults in (MachineFaults(full=True), MachineFaults(sync_delay_ms=5.0)):
+        fault_file.write(faults)
+        assert fault_file.read() == faults
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_loss_of_power_keeps_what_was_synced(fault_file, tmp_path, seed):
+    folder = tmp_path / "data"
+    folder.mkdir()
+    (folder / "log").write_bytes(b"a" * 1_000 + b"b" * 2_000)
+    (folder / "other").write_bytes(b"c" * 10)
+    fault_file.write_synced({"log": 1_000})
+    gone_bytes = lose_power(folder, fault_file, random.Random(seed))
+    data = (folder / "log").read_bytes()
+    assert data[:1_000] == b"a" * 1_000
+    assert set(data[1_000:]) <= {ord("b"), 0}
+    assert len(data) + gone_bytes == 3_000
+    zeros = data[1_000:].count(0)
+    if zeros:
+        torn_from = data.index(0)
+        assert torn_from == 1_000 or torn_from % BLOCK_BYTES == 0
+        assert data[torn_from : torn_from + zeros] == bytes(zeros)
+    assert (folder / "other").read_bytes() == b"c" * 10
+
+
+def make_run(nodes, at_ms, **fields):
+    options = nodes[0].options
+    record = Record(
+        RecordKind.RUN,
+        at_ms,
+        options.upstream,
+        "boot",
+        options.service,
+        "1",
+        nodes[0].data_centre,
+    )
+    return msgspec.structs.replace(record, **fields)
+
+
+def check(nodes, troubles, periods=(), records=(), lost=()):
+    result = LoadResult("load")
+    result.lost += lost
+    return Witness(nodes, list(troubles), list(periods)).check(result, list(records))
+
+
+def test_late_work_counts_at_nodes_in_touch_only(nodes):
+    period = OutPeriod(nodes[0].data_centre, 10_000, 60_000)
+    late = make_run(nodes, 20_000)
+    assert check(nodes, [], [period], [late]).late_work_out == 1
+    frozen = Trouble("Frozen", nodes[0].name, 15_000, 19_000)
+    assert check(nodes, [frozen], [period], [late]).late_work_out == 0
+    other = Trouble("Frozen", nodes[1].name, 15_000, 19_000)
+    assert check(nodes, [other], [period], [late]).late_work_out == 1
+
+
+def test_cut_answers_count_beside_a_planned_stop_only(nodes):
+    lost = LostAttempt("x.0", 0, 20_000, 20_400, timed_out=False)
+    ran = make_run(nodes, 20_100, attempt="x.0")
+    stop = Trouble("Stopped", nodes[0].name, 20_000)
+    kill = Trouble("Killed", nodes[0].name, 18_000, 19_000)
+    assert check(nodes, [stop], records=[ran], lost=[lost]).cut_by_stop == 1
+    assert check(nodes, [stop], lost=[lost]).cut_by_stop == 0
+    assert check(nodes, [stop, kill], records=[ran], lost=[lost]).cut_by_stop == 0
+
+
+def test_calls_without_an_end_count_at_entries_in_touch(nodes):
+    lost = LostAttempt("x.0", 0, 20_000, 26_000, timed_out=True)
+    assert check(nodes, [], lost=[lost]).held == 1
+    frozen = Trouble("Frozen", nodes[0].name, 25_000)
+    assert check(nodes, [frozen], lost=[lost]).held == 0
+
+
+@pytest.mark.parametrize(
+    "plan",
+    [SoakPlan(1, duration_s=SHORT_S), *(case.plan for case in BROKEN_SEEDS)],
+    ids=lambda plan: f"seed{plan.seed}",
+)
+def test_soak_breaks_no_promise(runner, tmp_path, plan):
+    result = runner.run(run_soak(plan, tmp_path))
+    assert result.promises == Promises()
+    assert result.answered
