--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -22,6 +22,7 @@
 from bench.soak.promises import Promises, Witness
 from bench.soak.site import SoakSite, soak_topology
 from bench.topology import KUSHIRO_CALLS
+from cicadawheel.errors import CicadawheelError
 from cicadawheel.timer import MS_PER_S
 
 RATE_PER_S = 60.0
@@ -115,7 +116,7 @@
     try:
         await asyncio.gather(load.run(), scheduler.run(plan.duration_s))
         after = await _wait_served(site, plan.seed)
-        kept = await operators.newest_is_kept()
+        kept = await _is_newest_kept(operators)
         for helper in helpers:
             if helper.done():
                 helper.result()
@@ -171,6 +172,14 @@
     return results[-1]
 
 
+async def _is_newest_kept(operators: Operators) -> bool:
+    try:
+        return await operators.newest_is_kept()
+    except CicadawheelError as error:
+        report("soak_control_silent", reason=error)
+        return False
+
+
 async def _start_again(site: SoakSite) -> None:
     """Start processes again that have ended by themselves, as the platform does.
 
