Elections end on disks that are slower than the election timeout

A vote is sent only when it is durable; a sync took 100 to 560 ms there (probe), the election timeout is 400 ms. Others stood before a candidate could win, and each pre-vote that was granted undid the election under way. Excluded: connections that stay silent (answers to pre-votes came within 1 ms), torn logs. Change: while a vote is being written, and for a timeout after that, a replica neither stands nor grants a pre-vote; replicas that stood in vain spread further apart.

--- a/cicadawheel/control/raft/core.py
+++ b/cicadawheel/control/raft/core.py
@@ -11,6 +11,7 @@
 from cicadawheel.control.raft.durability import Durability, Outbound
 from cicadawheel.control.raft.election import Election
 from cicadawheel.control.raft.entry import (
+    NO_VOTE,
     CommandData,
     HardState,
     LogEntry,
@@ -110,6 +111,9 @@
                 self._become_follower(self.term, None, "own disk is stuck", now_ms)
             elif not self.leadership.has_quorum(now_ms):
                 self._become_follower(self.term, None, "no majority heard", now_ms)
+        elif self._is_vote_in_writing():
+            # A disk slower than the timeout would else undo each election.
+            self._election.put_off(now_ms)
         elif self._election.is_due(now_ms) and not stalled:
             self._replace_leader(now_ms)
 
@@ -193,7 +197,10 @@
 
     def end_write(self, now_ms: float) -> None:
         """Take the batch of `begin_write` for durable."""
+        voted = self._is_vote_in_writing()
         self._durability.end_write(self.log)
+        if voted and not self._is_vote_in_writing():
+            self._election.voted(now_ms)
         durable = self._durability.hard_state.term == self.term
         if self.role is Role.CANDIDATE and durable:
             self._count_vote(self.replica, now_ms)
@@ -227,6 +234,11 @@
             self.leadership.snapshot = snapshot
         return snapshot
 
+    def _is_vote_in_writing(self) -> bool:
+        """Return whether a vote of this term, of its own too, isn't durable yet."""
+        voted = self.hard_state.vote != NO_VOTE
+        return voted and self.hard_state != self._durability.hard_state
+
     def _require_leadership(self) -> Leadership:
         if self.leadership is None or self.leadership.resigning:
             raise NotLeaderError(
@@ -293,6 +305,7 @@
     def _become_leader(self, now_ms: float) -> None:
         self.role = Role.LEADER
         self.leader = self.replica
+        self._election.won()
         self.leadership = Leadership(
             self.replica, self.term, self.log, self.commit_index, self.options, now_ms
         )
@@ -303,8 +316,8 @@
         self, peer: ReplicaId, request: VoteRequest, now_ms: float
     ) -> None:
         if request.pre:
-            granted = self.leadership is None
-            granted = granted and self._election.would_vote(request, self.term, now_ms)
+            busy = self.leadership is not None or self._is_vote_in_writing()
+            granted = not busy and self._election.would_vote(request, self.term, now_ms)
             term = request.term if granted else self.term
             self._durability.send(peer, VoteReply(term, granted, True))
             return
--- a/cicadawheel/control/raft/election.py
+++ b/cicadawheel/control/raft/election.py
@@ -9,6 +9,9 @@
 
 FIRST_SHARE = 0.2
 RETRY_SHARES = (0.2, 0.5)
+# After so many elections in vain the spread of the timeouts grows no more: a replica
+# that has lost them to a partition stands again within five timeouts of its end.
+STOOD_LIMIT = 3
 
 
 class Election:
@@ -42,6 +45,8 @@
         self.random = random
         self._votes: set[ReplicaId] = set()
         self._leader_heard_ms = float("-inf")
+        self._voted_ms = float("-inf")
+        self._stood = 0
         self._due_ms = now_ms
         if log.membership.voters() != [replica]:
             self._due_ms += random.uniform(FIRST_SHARE, 1.0) * timeout_ms
@@ -51,14 +56,29 @@
         return now_ms >= self._due_ms
 
     def put_off(self, now_ms: float) -> None:
-        """Wait for a whole timeout again, and a random part of another."""
-        self._due_ms = now_ms + self.random.uniform(1.0, 2.0) * self.timeout_ms
+        """Wait for a whole timeout again, and a random part of some more.
+
+        Replicas that have stood in vain spread further apart.
+        """
+        spread = 1.0 + min(self._stood, STOOD_LIMIT)
+        share = self.random.uniform(1.0, 1.0 + spread)
+        self._due_ms = now_ms + share * self.timeout_ms
 
     def leader_heard(self, now_ms: float) -> None:
         """Put the election off: the leader is alive."""
+        self._stood = 0
         self._leader_heard_ms = now_ms
         self.put_off(now_ms)
 
+    def won(self) -> None:
+        """Forget the elections in vain: this replica leads."""
+        self._stood = 0
+
+    def voted(self, now_ms: float) -> None:
+        """Give the candidate that got the vote, now durable, time to win."""
+        self._voted_ms = now_ms
+        self.put_off(now_ms)
+
     def hears_leader(self, now_ms: float) -> bool:
         """Return whether the leader was heard within a timeout."""
         return now_ms - self._leader_heard_ms < self.timeout_ms
@@ -72,6 +92,7 @@
     def begin_vote(self, now_ms: float) -> None:
         """Begin to count votes."""
         self._votes.clear()
+        self._stood += 1
         self.put_off(now_ms)
 
     def add_vote(self, voter: ReplicaId) -> bool:
@@ -87,6 +108,8 @@
         """Return whether a pre-vote is granted."""
         if request.term <= term or self.hears_leader(now_ms):
             return False
+        if now_ms - self._voted_ms < self.timeout_ms:
+            return False
         return self._is_up_to_date(request)
 
     def may_vote(
--- a/test/raft_shuttle.py
+++ b/test/raft_shuttle.py
@@ -31,6 +31,8 @@
         self.cut = set()
         self.loss_share = 0.0
         self.slow_disks = set()
+        self.write_ms = (0.0, 0.0)
+        self.write_ends_ms = {}
         self.writes = {}
         self.queue = deque()
         for name in names:
@@ -39,6 +41,7 @@
     def start(self, name):
         saved = self.saved.setdefault(name, SavedState())
         self.writes.pop(name, None)
+        self.write_ends_ms.pop(name, None)
         self.applied[name] = [saved.snapshot.data] if saved.snapshot else []
         self.rafts[name] = make_raft(
             name, saved, self.options, self.random, self.now_ms
@@ -98,12 +101,23 @@
         batch = self.writes.pop(name, None) or raft.begin_write(self.now_ms)
         if batch is None:
             return
-        if name in self.slow_disks:
+        if name in self.slow_disks or not self._is_written(name):
             self.writes[name] = batch
             return
         self.saved[name] = persist(self.saved[name], batch)
         raft.end_write(self.now_ms)
 
+    def _is_written(self, name):
+        """Return whether the time that a write takes has passed since its begin."""
+        ends_ms = self.write_ends_ms.get(name)
+        if ends_ms is None:
+            ends_ms = self.now_ms + self.random.uniform(*self.write_ms)
+            self.write_ends_ms[name] = ends_ms
+        if self.now_ms < ends_ms:
+            return False
+        del self.write_ends_ms[name]
+        return True
+
     def _apply(self, name, item):
         if isinstance(item, Snapshot):
             self.applied[name] = [item.data]
--- a/test/test_raft_faults.py
+++ b/test/test_raft_faults.py
@@ -96,3 +96,16 @@
     for name in shuttle.rafts[leader].membership.voters():
         assert split(shuttle.applied[name]) == found
     assert len(faults.acknowledged) > 5
+
+
+@pytest.mark.parametrize("seed", range(1, 21))
+def test_leader_is_elected_on_disks_slower_than_the_election_timeout(seed):
+    """A vote is given only once it is durable, which may take that long.
+
+    Twenty timeouts of 400 ms are half of the time that users give to recovery.
+    """
+    shuttle = Shuttle(*"abcde", seed=seed)
+    timeout_ms = shuttle.options.election_timeout_ms
+    shuttle.write_ms = (0.5 * timeout_ms, 2.0 * timeout_ms)
+    shuttle.pass_time(20 * timeout_ms)
+    assert shuttle.leaders()
