Entries use a part of the upstreams of a large service

Cause: each gate tells its load to each entry. Excluded: views and beats (CAPACITY.md: under 100 B/s a node). Change: an entry places calls on, and keeps streams to, up to 24 upstreams of its data centre and 8 farther ones, 16 at least, by a digest of both names; any other serves when none of these is open. Streams that aren't in use end after 5 s. Up to 16 upstreams nothing changes.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -156,14 +156,25 @@
         self.configuration = configuration
         self.router.configure(configuration)
         self.routes.configure(configuration)
+        self._keep_links()
 
     def set_members(self, members: list[Member]) -> None:
         """Replace the list of upstreams."""
         self.router.set_members(members, self.clock.now_ms())
-        self.links.keep_only({member.node for member in members})
         if isinstance(self.budget, WindowBudget):
             self.budget.entries = len(members)
-            self.links.keep_open([one for one in members if one.node != self.node])
+        self.links.keep_only({member.node for member in members})
+        self._keep_links()
+
+    def _keep_links(self) -> None:
+        """Keep streams to the nodes in use only.
+
+        Where gates tell their load, the streams are opened before a call needs them.
+        """
+        used = self.router.used_members()
+        self.links.want({member.node for member in used})
+        if isinstance(self.budget, WindowBudget):
+            self.links.keep_open([one for one in used if one.node != self.node])
 
     def drain(self, close_idle: bool = True) -> None:
         """End each connection after its next answer, and those that are idle now."""
--- a/cicadawheel/entry/group.py
+++ b/cicadawheel/entry/group.py
@@ -7,6 +7,7 @@
 
 from cicadawheel.configuration import Configuration
 from cicadawheel.entry.candidate import Candidate
+from cicadawheel.entry.subset import choose_subset
 from cicadawheel.ids import DataCentreName, NodeId, VersionName
 
 UNKNOWN_DISTANCE_MS = 1.0
@@ -22,11 +23,15 @@
 
 
 class Group(msgspec.Struct, frozen=True):
-    """All candidates, the nearest tier first; ``own`` is this node's upstream."""
+    """The candidates in use, the nearest tier first.
+
+    ``own`` is this node's upstream; ``spare`` are those that are not in use.
+    """
 
     tiers: tuple[Tier, ...]
     everyone: tuple[Candidate, ...]
     own: Candidate | None
+    spare: tuple[Candidate, ...] = ()
 
 
 def make_group(
@@ -36,18 +41,22 @@
     data_centre: DataCentreName,
     node: NodeId,
 ) -> Group:
-    """Return the candidates that the configuration lets take new work."""
+    """Return those in use of the candidates that may take new work."""
     fit = [item for item in candidates if _is_fit(item, version, configuration)]
+
+    def distance_ms(candidate: Candidate) -> float:
+        return _distance_ms(candidate, configuration, data_centre)
+
+    used = choose_subset(fit, node, distance_ms)
     by_distance: dict[float, list[Candidate]] = {}
-    for candidate in fit:
-        distance_ms = _distance_ms(candidate, configuration, data_centre)
-        by_distance.setdefault(distance_ms, []).append(candidate)
+    for candidate in used:
+        by_distance.setdefault(distance_ms(candidate), []).append(candidate)
     tiers = tuple(
-        Tier(distance_ms, tuple(by_distance[distance_ms]))
-        for distance_ms in sorted(by_distance)
+        Tier(tier_ms, tuple(by_distance[tier_ms])) for tier_ms in sorted(by_distance)
     )
-    own = next((item for item in fit if item.member.node == node), None)
-    return Group(tiers, tuple(fit), own)
+    own = next((item for item in used if item.member.node == node), None)
+    spare = tuple(item for item in fit if item not in used)
+    return Group(tiers, tuple(used), own, spare)
 
 
 def sample_usable(
--- a/cicadawheel/entry/peers.py
+++ b/cicadawheel/entry/peers.py
@@ -35,6 +35,8 @@
 
 CHECK_INTERVAL_MS = 250.0
 SILENCE_LIMIT_MS = 2_000.0
+# Members come and go in bursts after a loss of power; streams outlast those.
+UNUSED_LIMIT_MS = 5_000.0
 
 UNKNOWN_LOAD = LoadReport(0, 0, 1, 0.0, 1.0, False, BootId(""), 0)
 
@@ -237,6 +239,8 @@
         self.connect_timeout_ms = connect_timeout_ms
         self.listener = listener
         self._links: dict[NodeId, PeerLink] = {}
+        self._wanted: set[NodeId] = set()
+        self._unused_since_ms: dict[NodeId, float] = {}
 
     def link(self, member: Member) -> PeerLink:
         """Return the link to a node, at the address it has now."""
@@ -250,14 +254,25 @@
         return link
 
     def check(self, now_ms: float) -> None:
-        """End the streams to nodes that are silent while calls wait there."""
-        for link in list(self._links.values()):
+        """End the streams to nodes that are silent while calls wait there.
+
+        A stream that isn't wanted ends when it was idle for a while.
+        """
+        for node, link in list(self._links.items()):
             link.check(now_ms)
+            if node in self._wanted or link.calls_open:
+                self._unused_since_ms.pop(node, None)
+                continue
+            since_ms = self._unused_since_ms.setdefault(node, now_ms)
+            if now_ms - since_ms > UNUSED_LIMIT_MS:
+                del self._unused_since_ms[node]
+                self._links.pop(node).close()
 
     def keep_only(self, nodes: set[NodeId]) -> None:
         """End the idle links to nodes that are no longer members."""
         for node in set(self._links) - nodes:
             if self._links[node].calls_open == 0:
+                self._unused_since_ms.pop(node, None)
                 self._links.pop(node).close()
 
     def keep_open(self, members: Iterable[Member]) -> None:
@@ -265,6 +280,10 @@
         for member in members:
             self.link(member).open_stream()
 
+    def want(self, nodes: set[NodeId]) -> None:
+        """Keep streams to these nodes when they are idle, and to no others."""
+        self._wanted = nodes
+
     def close(self) -> None:
         """End all links."""
         for link in self._links.values():
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -143,7 +143,7 @@
         """Return the upstream for a call, or None if there is none.
 
         Those to exclude are taken after all when there is no other, and so are
-        the ejected ones.
+        the ejected ones; those that are not in use only when none else is open.
         """
         self._called_at_ms[service] = now_ms
         group = self._group(service, version)
@@ -165,7 +165,8 @@
             picked = self._policy.pick(group, usable, usual_ms, now_ms, need)
             if picked is not None:
                 return picked.member
-        return None
+        spare = [candidate.member for candidate in filter(untried, group.spare)]
+        return self.random.choice(spare) if spare else None
 
     def known(self, node: NodeId, now_ms: float) -> Known:
         """Return on what grounds a node is picked."""
@@ -186,7 +187,7 @@
         """Return how long from now a call is expected to wait at the best upstream."""
         waits_ms = [
             answer_ms(candidate, need, 0.0, own=True) - need.work_ms
-            for candidate in self._by_service.get(service, ())
+            for candidate in self._group(service, VersionName("")).everyone
         ]
         return max(0.0, min(waits_ms, default=target_ms))
 
@@ -291,13 +292,25 @@
         services = self._services_of_late(now_ms)
         if not services:
             return None
-        candidates = self._by_service.get(self.random.choice(services), ())
+        service = self.random.choice(services)
+        candidates = self._group(service, VersionName("")).everyone
         drawn = self.random.sample(candidates, min(PROBE_CHOICES, len(candidates)))
         wanted = [item for item in drawn if self._wants_probe(item, now_ms)]
         if not wanted:
             return None
         return min(wanted, key=lambda item: item.load_at_ms).member
 
+    def used_members(self) -> list[Member]:
+        """Return the members that calls are placed on, of all services."""
+        kinds = {(one.service, one.version) for one in self._members()}
+        kinds |= {(service, VersionName("")) for service in self._by_service}
+        used = {
+            candidate.member.node: candidate.member
+            for service, version in kinds
+            for candidate in self._group(service, version).everyone
+        }
+        return list(used.values())
+
     def probe_sent(self, node: NodeId, now_ms: float) -> None:
         """Expect an answer of a node."""
         self._probed_at_ms.setdefault(node, now_ms)
@@ -339,6 +352,9 @@
             self.settings.policy, candidates, self.ejections.report(now_ms)
         )
 
+    def _members(self) -> list[Member]:
+        return [candidate.member for candidate in self._candidates.values()]
+
     def _services_of_late(self, now_ms: float) -> list[ServiceName]:
         since_ms = now_ms - CALLED_OF_LATE_MS
         return [name for name, at_ms in self._called_at_ms.items() if at_ms >= since_ms]
@@ -353,7 +369,7 @@
         return age_ms >= self.settings.report_half_life_ms
 
     def _failed(self, candidate: Candidate, weight: int, now_ms: float) -> bool:
-        size = len(self._by_service.get(candidate.member.service, ()))
+        size = len(self._group(candidate.member.service, VersionName("")).everyone)
         return self.ejections.failed(candidate, weight, size, now_ms)
 
     def _group(self, service: ServiceName, version: VersionName) -> Group:
--- /dev/null
+++ b/test/test_peer_links.py
@@ -0,0 +1,55 @@
+"""Streams of an entry to other nodes: those in use stay, idle others end."""
+
+import asyncio
+
+import pytest
+
+from cicadawheel.configuration import Member
+from cicadawheel.entry.peers import UNUSED_LIMIT_MS, PeerLinks
+from cicadawheel.messages import CallOpen
+from cicadawheel.wire.stream import Identity
+
+IDENTITY = Identity("n0", "boot", b"a key of sixteen characters")
+
+
+def make_member(node):
+    return Member(node, f"u-{node}", "s", "v1", "d0", "127.0.0.1", 9, 4, 10)
+
+
+@pytest.fixture
+def links():
+    """Return links that never connect."""
+    made = PeerLinks(IDENTITY, 10.0, listener=None)
+    yield made
+    made.close()
+
+
+def test_idle_link_that_is_not_in_use_ends_after_a_while(links):
+    first = {node: links.link(make_member(node)) for node in ("n1", "n2")}
+    links.want({"n1"})
+    links.check(0.0)
+    links.check(UNUSED_LIMIT_MS)
+    assert links.link(make_member("n2")) is first["n2"]
+    links.check(UNUSED_LIMIT_MS + 1.0)
+    assert links.link(make_member("n1")) is first["n1"]
+    assert links.link(make_member("n2")) is not first["n2"]
+
+
+def test_link_with_calls_stays_and_is_idle_anew_after_them(links):
+    async def work():
+        link = links.link(make_member("n2"))
+        links.check(0.0)
+        call = link.open(make_call(), lambda message: None)
+        links.check(UNUSED_LIMIT_MS + 1.0)
+        assert links.link(make_member("n2")) is link
+        link.forget(call.stream)
+        links.check(UNUSED_LIMIT_MS + 2.0)
+        links.check(2 * UNUSED_LIMIT_MS)
+        assert links.link(make_member("n2")) is link
+        links.close()
+
+    asyncio.run(work())
+
+
+def make_call():
+    return CallOpen(0, "r", "s", "", "GET", "/", (), b"", False, 100.0, 0, True, "f")
