No circle of imports is left

Cause: five circles, most of them through types only: a call named its gate or entry, a session its server, the HTTP of operators and upstreams their daemons. Change: each names a protocol of what it needs; the sink of an answer has one definition.

--- a/cicadawheel/control/operators.py
+++ b/cicadawheel/control/operators.py
@@ -1,7 +1,7 @@
 """The HTTP of a control replica for operators."""
 
 import logging
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 import prometheus_client
@@ -16,7 +16,11 @@
     StartRelease,
     StopRelease,
 )
+from cicadawheel.control.metrics import ControlMetrics
 from cicadawheel.control.replicas import change_replicas
+from cicadawheel.control.replication import ReplicatedLog
+from cicadawheel.control.server import ControlServer
+from cicadawheel.control.state import ControlState
 from cicadawheel.errors import CicadawheelError, NoQuorumError, NotLeaderError
 from cicadawheel.http.exchange import (
     Handler,
@@ -38,12 +42,10 @@
     STATUS_NOT_LEADER,
     STATUS_PATH,
     STATUS_REFUSED,
+    ControlStatus,
     ReplicaChange,
 )
 
-if TYPE_CHECKING:
-    from cicadawheel.control.daemon import ControlDaemon
-
 log = logging.getLogger(__name__)
 
 LOADS_TIMEOUT_MS = 1_500.0
@@ -59,16 +61,34 @@
 )
 
 
+class OperatedReplica(Protocol):
+    """The replica that operators speak to."""
+
+    server: ControlServer
+    state: ControlState
+    durable_log: ReplicatedLog
+    metrics: ControlMetrics
+
+    def status(self) -> ControlStatus:
+        """Return what control knows of the deployment."""
+
+    def dump(self) -> msgspec.Struct:
+        """Return the state of the replica."""
+
+    def show_metrics(self) -> None:
+        """Bring the gauges up to date."""
+
+
 class OperatorServer:
     """Answers operators' commands and questions.
 
     Parameters
     ----------
-    daemon : ControlDaemon
+    daemon : OperatedReplica
         The replica that is asked.
     """
 
-    def __init__(self, daemon: "ControlDaemon"):
+    def __init__(self, daemon: OperatedReplica):
         self.daemon = daemon
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
@@ -165,6 +185,6 @@
         return json_answer(outcome, STATUS_OF_OUTCOME[outcome.state])
 
 
-def make_operator_handler(daemon: "ControlDaemon") -> Handler:
+def make_operator_handler(daemon: OperatedReplica) -> Handler:
     """Return what answers operators at a replica's address."""
     return OperatorServer(daemon).handle
--- a/cicadawheel/control/session.py
+++ b/cicadawheel/control/session.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 
 from cicadawheel.configuration import Configuration, Member
+from cicadawheel.configuration_delta import ConfigurationDelta
 from cicadawheel.control.command import (
     AnyCommand,
     FinishClaim,
@@ -18,6 +19,7 @@
     RegisterMember,
     ReleaseClaim,
 )
+from cicadawheel.control.log import CommandLog
 from cicadawheel.control.messages import (
     Beat,
     ClaimAnswer,
@@ -26,6 +28,7 @@
     ClaimRelease,
     EvidenceReport,
     LeaseEntry,
+    LeaseReport,
     Leaving,
     NodeToControl,
     RegisterAgain,
@@ -36,30 +39,55 @@
     View,
     ViewDelta,
 )
+from cicadawheel.control.state import ControlState
 from cicadawheel.control.state.membership import MembersDelta
 from cicadawheel.errors import CicadawheelError, PeerError
 from cicadawheel.ids import Fingerprint, LogIndex
 from cicadawheel.logs import log_event
+from cicadawheel.timer import Clock
 from cicadawheel.wire.stream import Stream
 
-if TYPE_CHECKING:
-    from cicadawheel.control.server import ControlServer
-
 log = logging.getLogger(__name__)
 
 QUARANTINE_MS = 600_000
 
 
+class SessionOwner(Protocol):
+    """The replica that a node is connected to."""
+
+    log: CommandLog
+    state: ControlState
+    clock: Clock
+
+    def session_opened(self, session: "NodeSession") -> None:
+        """Add the stream of a node."""
+
+    def session_closed(self, session: "NodeSession") -> None:
+        """Drop the stream of a node."""
+
+    def is_current(self) -> bool:
+        """Return whether this replica hears from a leader."""
+
+    def tell_leader(self, report: LeaseReport | EvidenceReport) -> None:
+        """Give a report to the leader, which may be this replica."""
+
+    def configuration_delta(self, sent: Configuration) -> ConfigurationDelta | None:
+        """Return what has changed since a configuration, None for nothing."""
+
+    def quarantined(self) -> tuple[Fingerprint, ...]:
+        """Return the requests that every node refuses."""
+
+
 class NodeSession:
     """One node's stream.
 
     Parameters
     ----------
-    server : ControlServer
+    server : SessionOwner
         The replica that the node is connected to.
     """
 
-    def __init__(self, server: "ControlServer"):
+    def __init__(self, server: SessionOwner):
         self.server = server
         self.lease: LeaseEntry | None = None
         self.heard_at_ms = 0.0
--- a/cicadawheel/entry/attempts.py
+++ b/cicadawheel/entry/attempts.py
@@ -2,17 +2,28 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from cicadawheel.configuration import Member
 from cicadawheel.entry.peers import CallHandle
 from cicadawheel.entry.plan import CallPlan
+from cicadawheel.entry.versions import Pick
 from cicadawheel.ids import NodeId
-from cicadawheel.messages import CallOpen, Cancel, Credit, ReplyMessage
+from cicadawheel.messages import CallOpen, Cancel, Credit, ReplyMessage, ReplySink
 from cicadawheel.timer import MS_PER_S
 
-if TYPE_CHECKING:
-    from cicadawheel.entry.entry import Entry
-    from cicadawheel.entry.versions import Pick
+
+class Gates(Protocol):
+    """Reaches the gates of upstreams, and hears what became of attempts."""
+
+    def open(self, member: Member, call: CallOpen, sink: ReplySink) -> CallHandle:
+        """Hand an attempt to the gate of an upstream."""
+
+    def hedge_delay_ms(self, plan: CallPlan) -> float | None:
+        """Return how long to wait before a second attempt, None for never."""
+
+    def attempt_cancelled(self, plan: CallPlan, pick: Pick, late: bool) -> None:
+        """Take note that nobody waits for an attempt any more."""
 
 
 class Attempt:
@@ -20,7 +31,7 @@
 
     __slots__ = ("handle", "live", "node", "pick")
 
-    def __init__(self, pick: "Pick"):
+    def __init__(self, pick: Pick):
         self.pick = pick
         self.node = pick.member.node
         self.handle: CallHandle | None = None
@@ -44,13 +55,13 @@
 
     Parameters
     ----------
-    entry : Entry
+    entry : Gates
         Reaches the gates.
     plan : CallPlan
         How the call is to be served.
     """
 
-    def __init__(self, entry: "Entry", plan: CallPlan):
+    def __init__(self, entry: Gates, plan: CallPlan):
         self.entry = entry
         self.plan = plan
         self.count = 0
@@ -59,7 +70,7 @@
         self.live: list[Attempt] = []
         self._hedge_timer: asyncio.TimerHandle | None = None
 
-    def open(self, pick: "Pick", call: CallOpen, receive: Receive) -> Attempt:
+    def open(self, pick: Pick, call: CallOpen, receive: Receive) -> Attempt:
         """Hand the call to the gate that was picked.
 
         ``receive`` takes the attempt and each message of its gate.
--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 from enum import Enum
-from typing import TYPE_CHECKING
 
 from cicadawheel.control.command import Outcome
 from cicadawheel.entry.answer import Answer
@@ -15,9 +14,11 @@
     may_run,
     settle_claim,
 )
+from cicadawheel.entry.owner import CallEnd, CallOwner
 from cicadawheel.entry.plan import CallPlan, make_fingerprint
 from cicadawheel.entry.reply import ReplyRelay
 from cicadawheel.entry.retry import HANDOVER_LIMIT, is_retriable
+from cicadawheel.entry.versions import Pick
 from cicadawheel.errors import CicadawheelError
 from cicadawheel.http.caller import CallerConnection
 from cicadawheel.http.fields import RequestHead, has_body
@@ -35,10 +36,6 @@
 )
 from cicadawheel.timer import MS_PER_S
 
-if TYPE_CHECKING:
-    from cicadawheel.entry.entry import Entry
-    from cicadawheel.entry.versions import Pick
-
 log = logging.getLogger(__name__)
 
 GATE_MARGIN_MS = 10.0
@@ -57,23 +54,12 @@
     ENDED = "ended"
 
 
-class CallEnd(Enum):
-    """How a call has ended, as the metrics count it."""
-
-    ANSWERED = "answered"
-    NOT_RUN = "not run"
-    LOST = "lost"
-    CUT = "cut"
-    CALLER_LEFT = "caller left"
-    RESENT = "resent"
-
-
 class EntryCall:
     """One call of a caller.
 
     Parameters
     ----------
-    entry : Entry
+    entry : CallOwner
         The entry that serves it.
     connection : CallerConnection
         Where it came from, and where its answer goes.
@@ -85,7 +71,7 @@
 
     def __init__(
         self,
-        entry: "Entry",
+        entry: CallOwner,
         connection: CallerConnection,
         request: RequestHead,
         plan: CallPlan,
@@ -197,7 +183,7 @@
             return
         self._try_at(pick)
 
-    def _try_at(self, pick: "Pick") -> None:
+    def _try_at(self, pick: Pick) -> None:
         self._body.expect()
         attempt = self._open_attempt(pick)
         if attempt.live:
@@ -205,7 +191,7 @@
             if self._body.empty and self.plan.repeatable:
                 self._attempts.plan_hedge(self._hedge)
 
-    def _pick(self) -> "Pick | None":
+    def _pick(self) -> Pick | None:
         return self.entry.pick(
             self.plan, self._attempts.tried, self._only_at, len(self._body.beginning)
         )
@@ -234,7 +220,7 @@
             )
             self._open_attempt(pick)
 
-    def _open_attempt(self, pick: "Pick") -> Attempt:
+    def _open_attempt(self, pick: Pick) -> Attempt:
         self.node = pick.member.node
         self.entry.log_placed(self.plan, pick, self._attempts.count)
         call = self._make_open(pick.member.version)
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -12,11 +12,12 @@
     answer_fault,
     answer_refusal,
 )
-from cicadawheel.entry.call import CallEnd, EntryCall
+from cicadawheel.entry.call import EntryCall
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.comeback import come_back_ms
 from cicadawheel.entry.latency import Latencies
-from cicadawheel.entry.peers import CallHandle, PeerLinks, ReplySink
+from cicadawheel.entry.owner import CallEnd
+from cicadawheel.entry.peers import CallHandle, PeerLinks
 from cicadawheel.entry.placement import Need, Works
 from cicadawheel.entry.plan import CallPlan, plan_by_host, plan_call
 from cicadawheel.entry.probing import PROBE_COST_BYTES, MeasuringMeter
@@ -55,6 +56,7 @@
     RefusalReason,
     Refused,
     ReplyHead,
+    ReplySink,
 )
 from cicadawheel.metrics import NodeMetrics
 from cicadawheel.release.chooser import VersionChoice
--- a/cicadawheel/entry/peers.py
+++ b/cicadawheel/entry/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Protocol
 
 import msgspec
@@ -26,6 +26,7 @@
     Refused,
     ReplyHead,
     ReplyMessage,
+    ReplySink,
     ViewReply,
     ViewRequest,
 )
@@ -40,7 +41,6 @@
 
 UNKNOWN_LOAD = LoadReport(0, 0, 1, 0.0, 1.0, False, BootId(""), 0)
 
-ReplySink = Callable[[ReplyMessage], None]
 _decoder = msgspec.msgpack.Decoder(NodeMessage)
 
 
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -2,9 +2,14 @@
 
 import asyncio
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from cicadawheel.announcement import Announcement
+from cicadawheel.gate.admission import Admission
 from cicadawheel.gate.decision import Result
+from cicadawheel.gate.guard import CrashGuard
+from cicadawheel.gate.told import ToldAdmission
+from cicadawheel.http.dialect import Dialect
 from cicadawheel.http.fields import (
     ResponseHead,
     content_length,
@@ -12,7 +17,8 @@
     has_field,
     keep_end_to_end,
 )
-from cicadawheel.http.upstream import ExchangeEnd, UpstreamConnection
+from cicadawheel.http.upstream import ExchangeEnd, UpstreamConnection, UpstreamPool
+from cicadawheel.ids import RequestId
 from cicadawheel.messages import (
     Body,
     CallMessage,
@@ -20,14 +26,14 @@
     Cancel,
     Credit,
     End,
+    LoadReport,
     RefusalReason,
     Refused,
     ReplyHead,
+    ReplySink,
 )
-from cicadawheel.timer import MS_PER_S
-
-if TYPE_CHECKING:
-    from cicadawheel.gate.gate import Gate, ReplySink
+from cicadawheel.settings import GateSettings
+from cicadawheel.timer import MS_PER_S, Clock
 
 WHOLE_REPLY_LIMIT_BYTES = 65_536
 FIRST_FAILURE_STATUS = 400
@@ -58,12 +64,44 @@
 }
 
 
+class CallGate(Protocol):
+    """The gate that decides on a call, and what it has for it."""
+
+    settings: GateSettings
+    dialect: Dialect
+    clock: Clock
+    pool: UpstreamPool
+    guard: CrashGuard
+    admission: Admission | ToldAdmission
+    announcement: Announcement | None
+
+    def load(self) -> LoadReport:
+        """Return what is known of the upstream now."""
+
+    def answer_read(self, response: ResponseHead) -> None:
+        """Take the load that an answer of the upstream tells."""
+
+    def upstream_shed(self, request: RequestId, response: ResponseHead) -> None:
+        """Take note that the upstream has refused a request that it had room for."""
+
+    def upstream_is_another(self) -> None:
+        """Admit nothing: another upstream has the address of the one announced."""
+
+    def call_ended(
+        self,
+        call: "GateCall",
+        result: Result | None,
+        service_time_ms: float | None = None,
+    ) -> None:
+        """Free the slot of a call; ``result`` is None if it had none."""
+
+
 class GateCall:
     """One call at the gate.
 
     Parameters
     ----------
-    gate : Gate
+    gate : CallGate
         The gate that decides on it.
     ticket : int
         Its number there.
@@ -77,10 +115,10 @@
 
     def __init__(
         self,
-        gate: "Gate",
+        gate: CallGate,
         ticket: int,
         call: CallOpen,
-        sink: "ReplySink",
+        sink: ReplySink,
         now_ms: float,
     ):
         self.gate = gate
--- a/cicadawheel/gate/crash.py
+++ b/cicadawheel/gate/crash.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 
@@ -17,15 +17,19 @@
 from cicadawheel.messages import CrashNotice
 from cicadawheel.timer import MS_PER_S, Clock
 
-if TYPE_CHECKING:
-    from cicadawheel.gate.call import GateCall
-
 GATHER_MS = 5.0
 SPREAD_MS = 50.0
 
 
+class LostCall(Protocol):
+    """A call whose exchange with the upstream was lost."""
+
+    def end_exchange(self, end: ExchangeEnd) -> None:
+        """Refuse the call, as its exchange has ended."""
+
+
 class _Held(msgspec.Struct, frozen=True):
-    call: "GateCall"
+    call: LostCall
     end: ExchangeEnd
 
 
@@ -60,7 +64,7 @@
         self._check: asyncio.Task | None = None
 
     def exchange_lost(
-        self, call: "GateCall", end: ExchangeEnd, testers: list[NodeId]
+        self, call: LostCall, end: ExchangeEnd, testers: list[NodeId]
     ) -> None:
         """Hold a call's refusal back, and check on the upstream."""
         self._held.append(_Held(call, end))
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -34,7 +34,7 @@
     CallOpen,
     LoadReport,
     RefusalReason,
-    ReplyMessage,
+    ReplySink,
 )
 from cicadawheel.settings import Address, GateSettings
 from cicadawheel.timer import Clock, TimerService
@@ -44,8 +44,6 @@
 TICK_INTERVAL_MS = 5.0
 TOLD = "told"
 
-ReplySink = Callable[[ReplyMessage], None]
-
 
 class GateReport(msgspec.Struct, frozen=True):
     """The state of a gate, for operators."""
--- a/cicadawheel/gate/guard.py
+++ b/cicadawheel/gate/guard.py
@@ -2,22 +2,26 @@
 
 import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
-from cicadawheel.gate.crash import CrashWatch
+from cicadawheel.gate.crash import CrashWatch, LostCall
 from cicadawheel.gate.suspects import Suspects, Treatment
 from cicadawheel.http.upstream import ExchangeEnd, UpstreamPool
 from cicadawheel.ids import Fingerprint, NodeId
 from cicadawheel.logs import log_event
-from cicadawheel.messages import CrashNotice, RefusalReason
+from cicadawheel.messages import CallOpen, CrashNotice, RefusalReason
 from cicadawheel.timer import Clock
 
-if TYPE_CHECKING:
-    from cicadawheel.gate.call import GateCall
-
 log = logging.getLogger(__name__)
 
 
+class JudgedCall(LostCall, Protocol):
+    """A call that may crash its upstream; ``alone`` lets nothing run beside it."""
+
+    call: CallOpen
+    alone: bool
+
+
 class GatePeers(Protocol):
     """Reaches the other gates of the service, and control."""
 
@@ -77,7 +81,7 @@
         self._on_died = on_died
         self._on_condemned = on_condemned
 
-    def treat(self, call: "GateCall", now_ms: float) -> RefusalReason | None:
+    def treat(self, call: JudgedCall, now_ms: float) -> RefusalReason | None:
         """Return why a call is refused, or None; a suspect is to run alone."""
         treatment = self.suspects.treat(call.call.fingerprint, now_ms)
         if treatment is Treatment.REFUSE:
@@ -94,7 +98,7 @@
             log_event(log, "suspect_cleared", fingerprint=fingerprint)
             self.peers.tell(notice)
 
-    def exchange_lost(self, call: "GateCall", end: ExchangeEnd) -> None:
+    def exchange_lost(self, call: JudgedCall, end: ExchangeEnd) -> None:
         """Find out whether the upstream has died, then refuse the call."""
         self.suspects.lost(call.call.fingerprint, self.clock.now_ms())
         self.crashes.exchange_lost(call, end, self.peers.testers())
--- a/cicadawheel/messages.py
+++ b/cicadawheel/messages.py
@@ -4,6 +4,7 @@
 `cicadawheel.wire.handshake.PROTOCOL_VERSION`.
 """
 
+from collections.abc import Callable
 from enum import Enum
 from typing import ClassVar
 
@@ -224,6 +225,8 @@
 
 ReplyMessage = ReplyHead | Body | End | Credit | Refused
 """What a gate answers to a call."""
+ReplySink = Callable[[ReplyMessage], None]
+"""Takes the messages of one answer."""
 
 NodeMessage = (
     CallOpen
--- a/cicadawheel/node/admin.py
+++ b/cicadawheel/node/admin.py
@@ -1,7 +1,7 @@
 """The node's HTTP for its upstream and for operators."""
 
 import logging
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 import prometheus_client
@@ -20,25 +20,41 @@
     json_answer,
     text_answer,
 )
-
-if TYPE_CHECKING:
-    from cicadawheel.node.daemon import Node
+from cicadawheel.metrics import NodeMetrics
 
 log = logging.getLogger(__name__)
 
 ANNOUNCE_REPEAT_MS = 1_000.0
 
 
+class AdministeredNode(Protocol):
+    """The node that its upstream and operators speak to."""
+
+    metrics: NodeMetrics
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take note of the upstream beside the node."""
+
+    def upstream_leaves(self, leave: Leave) -> bool:
+        """Send the upstream nothing new; return whether it is the one here."""
+
+    def dump(self) -> msgspec.Struct:
+        """Return the state of the node."""
+
+    def show_metrics(self) -> None:
+        """Bring the gauges up to date."""
+
+
 class NodeAdmin:
     """Answers announcements, metrics and dumps.
 
     Parameters
     ----------
-    node : Node
+    node : AdministeredNode
         The node that is asked.
     """
 
-    def __init__(self, node: "Node"):
+    def __init__(self, node: AdministeredNode):
         self.node = node
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
@@ -68,6 +84,6 @@
         return text_answer("leaving\n")
 
 
-def make_admin_handler(node: "Node") -> Handler:
+def make_admin_handler(node: AdministeredNode) -> Handler:
     """Return what answers at a node's admin address."""
     return NodeAdmin(node).handle
