--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -306,14 +306,14 @@
         """Try another upstream in place of one that failed the request."""
         if head.more or self._only_at or not self._body.replayable:
             return False
-        if not self.entry.is_retriable_answer(self.plan, head.status):
+        if not self.entry.repeats.is_retriable_answer(self.plan, head.status):
             return False
         pick = None
         if len(self._attempts.live) == 1:
             pick = self._pick() if self._may_hand_over() else None
             if pick is None or pick.member.node in self._attempts.tried:
                 return False
-            if not self.entry.may_retry_answer(self.plan, pick):
+            if not self.entry.repeats.may_retry_answer(self.plan, pick.member.node):
                 return False
         self._attempts.drop(attempt)
         self.entry.attempt_answered(self.plan, attempt.pick, head)
@@ -360,7 +360,7 @@
             return False
         if self._attempts.count >= HANDOVER_LIMIT:
             return False
-        return self.entry.may_retry(self.plan, refused, self._attempts.reached)
+        return self.entry.repeats.may_retry(self.plan, refused, reached)
 
     def _store_answer(self, answer: Answer) -> None:
         if self._claim is not None:
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -21,17 +21,11 @@
 from cicadawheel.entry.placement import Need, Works
 from cicadawheel.entry.plan import CallPlan, plan_by_host, plan_call
 from cicadawheel.entry.probing import PROBE_COST_BYTES, MeasuringMeter
-from cicadawheel.entry.retry import (
-    HEDGE_COST,
-    MAY_HAVE_RUN_COST,
-    RetryBudget,
-    RetryBudgetReport,
-    retry_cost,
-)
+from cicadawheel.entry.repeats import FIRST_SERVER_ERROR, Repeats
+from cicadawheel.entry.retry import RetryBudgetReport
 from cicadawheel.entry.router import Router, RouterReport
 from cicadawheel.entry.routes import RouteTable
 from cicadawheel.entry.versions import Pick, Versions
-from cicadawheel.entry.window_budget import WindowBudget
 from cicadawheel.gate.gate import Gate
 from cicadawheel.http.caller import CallerConnection
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
@@ -66,11 +60,6 @@
 
 log = logging.getLogger(__name__)
 
-FIRST_SERVER_ERROR = 500
-DEADLINE_STATUS = 504
-# The part of the budget that may go into sends beside one that still runs; the rest
-# is kept for calls that have failed.
-HEDGED_PART = 0.75
 # Calls at an upstream that has slowed down by this factor may be sent once more.
 SLOWED_FACTOR = 2.0
 HEDGED_METHODS = frozenset(("GET", "HEAD"))
@@ -140,7 +129,7 @@
         self.dialect = dialect
         self.routes = RouteTable(router.random)
         self.caller_service = ServiceName("")
-        self.budget = _make_budget(settings)
+        self.repeats = Repeats(settings, router, clock)
         self.works = Works()
         self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
@@ -163,8 +152,7 @@
     def set_members(self, members: list[Member]) -> None:
         """Replace the list of upstreams."""
         self.router.set_members(members, self.clock.now_ms())
-        if isinstance(self.budget, WindowBudget):
-            self.budget.entries = len(members)
+        self.repeats.share_with(len(members))
         self.links.keep_only({member.node for member in members})
         self._keep_links()
 
@@ -175,7 +163,7 @@
         """
         used = self.router.used_members()
         self.links.want({member.node for member in used})
-        if isinstance(self.budget, WindowBudget):
+        if self.repeats.shared:
             self.links.keep_open([one for one in used if one.node != self.node])
 
     def drain(self, close_idle: bool = True) -> None:
@@ -247,7 +235,7 @@
             connection.respond(answer.status, answer.headers, answer.body)
             return None
         now_ms = self.clock.now_ms()
-        self.budget.call_began(plan.service, now_ms)
+        self.repeats.call_began(plan.service, now_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
         reserve.seen(plan.priority, now_ms)
         call = EntryCall(self, connection, request, plan)
@@ -354,7 +342,7 @@
             log_event(log, "upstream_ejected", node=node, reason="bad answers")
         if good:
             share = self.configuration.services[plan.service].retry_share
-            self.budget.call_ended(plan.service, share, now_ms)
+            self.repeats.call_ended(plan.service, share, now_ms)
         self.latencies.add(plan.service, latency_ms)
         self.metrics.observe_latency(plan.service, latency_ms)
 
@@ -382,28 +370,6 @@
         self.versions.record(plan.service, pick.choice, plan.route, failed, latency_ms)
         return latency_ms
 
-    def is_retriable_answer(self, plan: CallPlan, status: int) -> bool:
-        """Return whether an upstream's answer is a failure that others may not give."""
-        if not isinstance(self.budget, WindowBudget) or not plan.repeatable:
-            return False
-        return status >= FIRST_SERVER_ERROR and status != DEADLINE_STATUS
-
-    def may_retry_answer(self, plan: CallPlan, pick: Pick) -> bool:
-        """Return whether another try after a failure has room and is in the budget."""
-        if not self.router.has_room(pick.member.node):
-            return False
-        return self._spend(plan, MAY_HAVE_RUN_COST)
-
-    def may_retry(self, plan: CallPlan, refused: Refused, reached: int) -> bool:
-        """Return whether the service's retry budget allows one more attempt.
-
-        ``reached`` is how many upstreams the call has reached so far.
-        """
-        if isinstance(self.budget, WindowBudget):
-            return self._spend(plan, HEDGE_COST) if reached else True
-        cost = retry_cost(refused)
-        return self._spend(plan, cost) if cost else True
-
     def hedge_gain_ms(
         self, plan: CallPlan, pick: Pick, other: Pick, body_bytes: int
     ) -> float:
@@ -423,7 +389,7 @@
 
     def consider_hedges(self, now_ms: float) -> None:
         """Send calls once more whose upstreams turn out slower than others."""
-        if not isinstance(self.budget, WindowBudget):
+        if not self.repeats.shared:
             return
         for call in list(self.calls):
             call.consider_hedge()
@@ -437,18 +403,11 @@
 
     def may_hedge(self, plan: CallPlan) -> bool:
         """Return whether the service's retry budget allows a second attempt."""
-        if isinstance(self.budget, WindowBudget):
-            now_ms = self.clock.now_ms()
-            allowed = self.budget.take(plan.service, HEDGE_COST, now_ms, HEDGED_PART)
-        else:
-            allowed = self._spend(plan, HEDGE_COST)
+        allowed = self.repeats.may_hedge(plan)
         if allowed:
             self.metrics.hedges.labels(plan.service).inc()
         return allowed
 
-    def _spend(self, plan: CallPlan, cost: float) -> bool:
-        return self.budget.take(plan.service, cost, self.clock.now_ms())
-
     def observe(self, node: NodeId, load: LoadReport) -> None:
         """Take a load that a probe has brought."""
         slowed = load.slowness > self.router.slowness(node) * SLOWED_FACTOR
@@ -487,14 +446,6 @@
         """Return the state for operators."""
         return EntryReport(
             router=self.router.report(self.clock.now_ms()),
-            retry_budgets=self.budget.report(),
+            retry_budgets=self.repeats.report(),
             quarantined=sorted(self.quarantined),
         )
-
-
-def _make_budget(settings: EntrySettings) -> RetryBudget | WindowBudget:
-    if not (settings.retry_share or settings.retry_slack):
-        return RetryBudget()
-    return WindowBudget(
-        settings.retry_share, settings.retry_slack, settings.retry_window_ms
-    )
--- a/cicadawheel/entry/owner.py
+++ b/cicadawheel/entry/owner.py
@@ -8,6 +8,7 @@
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.placement import Works
 from cicadawheel.entry.plan import CallPlan
+from cicadawheel.entry.repeats import Repeats
 from cicadawheel.entry.versions import Pick
 from cicadawheel.http.dialect import Dialect
 from cicadawheel.http.fields import Headers
@@ -40,6 +41,7 @@
     dialect: Dialect
     claims: ClaimClient
     works: Works
+    repeats: Repeats
     quarantined: frozenset[Fingerprint]
     body_buffer_bytes: int
 
@@ -62,15 +64,6 @@
     def may_hedge(self, plan: CallPlan) -> bool:
         """Return whether the service's retry budget allows a second attempt."""
 
-    def is_retriable_answer(self, plan: CallPlan, status: int) -> bool:
-        """Return whether an answer is a failure that others may not give."""
-
-    def may_retry_answer(self, plan: CallPlan, pick: Pick) -> bool:
-        """Return whether another try after a failure has room and is in the budget."""
-
-    def may_retry(self, plan: CallPlan, refused: Refused, reached: int) -> bool:
-        """Return whether the retry budget allows one more attempt."""
-
     def attempt_answered(self, plan: CallPlan, pick: Pick, head: ReplyHead) -> None:
         """Take note of an upstream's answer."""
 
