--- /dev/null
+++ b/test/spells.py
@@ -0,0 +1,24 @@
+"""Machines that slow down in spells, as those of the platform do."""
+
+SPELL_MS = 500.0
+SLOW_SHARE = 0.25
+SLOWNESS = 7.0
+WORK_MS = 160.0
+TARGET_MS = 500.0
+TELL_MS = 25.0
+SLOTS = 9
+
+
+def spell(now_ms):
+    """Return the number of the spell at a time."""
+    return int(now_ms / SPELL_MS)
+
+
+def ends_ms(slowness_at, now_ms, work_ms):
+    """Return when work ends that begins now on a machine of a changing slowness."""
+    while work_ms > 0:
+        slowness = slowness_at(now_ms)
+        done_ms = min(work_ms, ((spell(now_ms) + 1) * SPELL_MS - now_ms) / slowness)
+        work_ms -= done_ms
+        now_ms += done_ms * slowness
+    return now_ms
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -8,6 +8,16 @@
 from random import Random
 
 import pytest
+from spells import (
+    SLOTS,
+    SLOW_SHARE,
+    SLOWNESS,
+    TARGET_MS,
+    TELL_MS,
+    WORK_MS,
+    ends_ms,
+    spell,
+)
 
 from cicadawheel.configuration import Configuration, DataCentreRule, Member
 from cicadawheel.entry.placement import Need, Works
@@ -16,14 +26,7 @@
 from cicadawheel.settings import EntrySettings
 from cicadawheel.slowness import remaining_ms
 
-SLOTS = 9
 UPSTREAMS = 5
-SPELL_MS = 500.0
-SLOW_SHARE = 0.25
-SLOWNESS = 7.0
-WORK_MS = 160.0
-TARGET_MS = 500.0
-TELL_MS = 25.0
 
 
 def make_member(node, data_centre="d0"):
@@ -55,17 +58,11 @@
         ]
 
     def slowness(self, number, now_ms):
-        return SLOWNESS if self.slow[number][int(now_ms / SPELL_MS)] else 1.0
+        return SLOWNESS if self.slow[number][spell(now_ms)] else 1.0
 
     def ends_ms(self, number, now_ms, work_ms):
         """Return when work ends that begins now."""
-        while work_ms > 0:
-            slowness = self.slowness(number, now_ms)
-            spell_ends_ms = (int(now_ms / SPELL_MS) + 1) * SPELL_MS
-            done_ms = min(work_ms, (spell_ends_ms - now_ms) / slowness)
-            work_ms -= done_ms
-            now_ms += done_ms * slowness
-        return now_ms
+        return ends_ms(lambda at_ms: self.slowness(number, at_ms), now_ms, work_ms)
 
 
 def play(policy, seed, per_s=50.0, seconds=60.0):
@@ -95,10 +92,11 @@
         number = int(picked.node[1:])
         router.started(picked.node, now_ms)
         in_flight[number] += 1
-        ends_ms = machines.ends_ms(number, now_ms, draw.lognormvariate(0, 0.3) * 160)
-        heapq.heappush(running, (ends_ms, number, now_ms))
+        work_ms = draw.lognormvariate(0, 0.3) * WORK_MS
+        ended_ms = machines.ends_ms(number, now_ms, work_ms)
+        heapq.heappush(running, (ended_ms, number, now_ms))
         calls += 1
-        good += ends_ms - now_ms <= TARGET_MS
+        good += ended_ms - now_ms <= TARGET_MS
     return good / calls
 
 
--- a/test/test_subset.py
+++ b/test/test_subset.py
@@ -5,6 +5,16 @@
 from random import Random
 
 import pytest
+from spells import (
+    SLOTS,
+    SLOW_SHARE,
+    SLOWNESS,
+    TARGET_MS,
+    TELL_MS,
+    WORK_MS,
+    ends_ms,
+    spell,
+)
 
 from cicadawheel.configuration import (
     Configuration,
@@ -19,13 +29,6 @@
 from cicadawheel.settings import EntrySettings
 
 CENTRES = ("d0", "d1", "d2")
-SLOTS = 9
-SPELL_MS = 500.0
-SLOW_SHARE = 0.25
-SLOWNESS = 7.0
-WORK_MS = 160.0
-TARGET_MS = 500.0
-TELL_MS = 25.0
 UPSTREAMS = 38
 ENTRIES = 12
 
@@ -88,19 +91,13 @@
         )
 
     def slowness(self, node, now_ms):
-        spell = (node, int(now_ms / SPELL_MS))
-        if spell not in self.slow:
-            self.slow[spell] = Random(str(spell)).random() < SLOW_SHARE
-        return SLOWNESS if self.slow[spell] else 1.0
+        key = (node, spell(now_ms))
+        if key not in self.slow:
+            self.slow[key] = Random(str(key)).random() < SLOW_SHARE
+        return SLOWNESS if self.slow[key] else 1.0
 
     def ends_ms(self, node, now_ms, work_ms):
-        while work_ms > 0:
-            slowness = self.slowness(node, now_ms)
-            spell_ends_ms = (int(now_ms / SPELL_MS) + 1) * SPELL_MS
-            done_ms = min(work_ms, (spell_ends_ms - now_ms) / slowness)
-            work_ms -= done_ms
-            now_ms += done_ms * slowness
-        return now_ms
+        return ends_ms(lambda at_ms: self.slowness(node, at_ms), now_ms, work_ms)
 
 
 def play(seed, per_s=400.0, seconds=15.0):
@@ -121,10 +118,11 @@
         node = router.pick("s", "", set(), now_ms, Need(WORK_MS)).node
         router.started(node, now_ms)
         fleet.in_flight[node] += 1
-        ends_ms = fleet.ends_ms(node, now_ms, fleet.draw.lognormvariate(0, 0.3) * 160)
+        work_ms = fleet.draw.lognormvariate(0, 0.3) * WORK_MS
+        ended_ms = fleet.ends_ms(node, now_ms, work_ms)
         calls += 1
-        heapq.heappush(running, (ends_ms, calls, router, node))
-        late += ends_ms - now_ms > TARGET_MS
+        heapq.heappush(running, (ended_ms, calls, router, node))
+        late += ended_ms - now_ms > TARGET_MS
     return late / calls, fleet.news
 
 
