--- a/test/test_proof_lease.py
+++ b/test/test_proof_lease.py
@@ -2,19 +2,25 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from processes import FROZEN, THAWED, make_topology
 from site_calls import BOOK
 
 from bench.calls import CallOutcome
 from bench.launcher import wait_for
+from bench.topology import Override
 
 LEASE_OVER_MS = 5_000
+# Short, so that a busy machine sees it end before the booking has to.
+SHORT_LEASE = Override("control", "lease_ms", "1500")
 
 
 @pytest.fixture(scope="module")
 def site(start_site):
-    return start_site(make_topology(booking=3), add_ways)
+    usual = make_topology(booking=3)
+    overrides = (*usual.overrides, SHORT_LEASE)
+    return start_site(msgspec.structs.replace(usual, overrides=overrides), add_ways)
 
 
 async def add_ways(site):
