--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -59,19 +59,15 @@
 def run_soaks(plans: list[SoakPlan], keep: Path | None) -> int:
     """Run soaks one after another; return 0, or 1 if a promise was broken.
 
-    ``keep`` is where the folder of each broken one is moved.
+    ``keep`` is where the folder of each broken one is copied. One that could not be
+    run counts as broken.
     """
     broken_seeds = []
     for plan in plans:
         with tempfile.TemporaryDirectory(prefix="cicadawheel-soak-") as name:
             folder = Path(name) / f"seed-{plan.seed}"
             folder.mkdir()
-            result = asyncio.run(run_soak(plan, folder))
-            broken = result.promises.broken()
-            counts = msgspec.structs.asdict(result)
-            del counts["promises"]
-            report("soak_done", **counts, broken=len(broken), **broken)
-            if broken:
+            if not _keeps_promises(plan, folder):
                 broken_seeds.append(plan.seed)
                 if keep is not None:
                     shutil.copytree(folder, keep / folder.name, dirs_exist_ok=True)
@@ -79,6 +75,19 @@
     return int(bool(broken_seeds))
 
 
+def _keeps_promises(plan: SoakPlan, folder: Path) -> bool:
+    try:
+        result = asyncio.run(run_soak(plan, folder))
+    except (CicadawheelError, TimeoutError) as error:
+        report("soak_failed", seed=plan.seed, reason=error)
+        return False
+    broken = result.promises.broken()
+    counts = msgspec.structs.asdict(result)
+    del counts["promises"]
+    report("soak_done", **counts, broken=len(broken), **broken)
+    return not broken
+
+
 async def run_soak(plan: SoakPlan, folder: Path) -> SoakResult:
     """Run one soak in a folder, which keeps its logs and records.
 
