Repeats are marked, counted and logged by cause where they reach an upstream

Change: CallOpen says why an attempt may be a further run (beside one that still runs, after a refusal, after a failure, within a run that is a repeat); the gate that sends it writes repeat_sent and counts cicadawheel_repeats. A call is known to be made within a repeat by its id, which goes on from that of its run, or is the same; where ids never do so, by the time at which it expires. No decision changes.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -31,6 +31,7 @@
     End,
     RefusalReason,
     Refused,
+    Repeat,
     ReplyHead,
     ReplyMessage,
 )
@@ -67,6 +68,8 @@
         Its head.
     plan : CallPlan
         How it is to be served.
+    within_repeat : bool
+        Whether the upstream of this node makes it in a run that is a repeat.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         connection: CallerConnection,
         request: RequestHead,
         plan: CallPlan,
+        within_repeat: bool = False,
     ):
         self.entry = entry
         self.connection = connection
@@ -90,6 +94,7 @@
         )
         self._fingerprint = None
         self._attempts = Attempts(entry, plan)
+        self._within_repeat = within_repeat
         self._may_have_run = False
         self._last_reason: RefusalReason | None = None
         self._failure: ReplyHead | None = None
@@ -258,8 +263,19 @@
             target_ms=self._target_left_ms(),
             priority=self.plan.priority,
             work_ms=self.entry.works.usual_ms(self.plan.route),
+            repeat=self._repeat(),
         )
 
+    def _repeat(self) -> Repeat:
+        """Return what the next attempt repeats, if anything."""
+        if self._within_repeat:
+            return Repeat.WITHIN
+        if not self._attempts.reached:
+            return Repeat.FIRST
+        if self._attempts.live:
+            return Repeat.SPARE
+        return Repeat.FAILED if self._may_have_run else Repeat.REFUSED
+
     def _target_left_ms(self) -> float:
         if not self.plan.target_ms:
             return 0.0
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -8,6 +8,7 @@
 from cicadawheel.gate.admission import Admission
 from cicadawheel.gate.decision import Result
 from cicadawheel.gate.guard import CrashGuard
+from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.told import ToldAdmission
 from cicadawheel.http.dialect import Dialect
 from cicadawheel.http.fields import (
@@ -72,6 +73,7 @@
     clock: Clock
     pool: UpstreamPool
     guard: CrashGuard
+    repeats: GateRepeats
     admission: Admission | ToldAdmission
     announcement: Announcement | None
 
@@ -181,6 +183,7 @@
             return
         self._connection = connection
         self.state = CallState.SENT
+        self.gate.repeats.sent(self.call, self.deadline_at_ms)
         self.gate.guard.upstream_reached()
         if self._request_whole:
             self._note_sent()
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -15,6 +15,7 @@
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.health import HealthReader, HealthReport, read_load
 from cicadawheel.gate.news import LoadNews
+from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.reports import ReportReader, ReportWatch
 from cicadawheel.gate.suspects import SuspectReport
 from cicadawheel.gate.told import ToldAdmission
@@ -94,6 +95,7 @@
         self.guard = CrashGuard(
             node, self.pool, self.clock, self._upstream_died, self._refuse_waiting
         )
+        self.repeats = GateRepeats(self.clock)
         self.reports = ReportReader(ReportWatch(settings))
         self._restarts_logged = 0
         self._suspicions_logged = 0
--- a/cicadawheel/messages.py
+++ b/cicadawheel/messages.py
@@ -52,6 +52,19 @@
     value: bytes
 
 
+class Repeat(Enum):
+    """Why an attempt may be a further run of its request.
+
+    All but ``FIRST`` count against the budget of their service.
+    """
+
+    FIRST = "first"
+    SPARE = "spare"
+    REFUSED = "refused"
+    FAILED = "failed"
+    WITHIN = "within"
+
+
 class CallOpen(Message, tag="open"):
     """An entry hands a call to the gate of the upstream that it picked.
 
@@ -60,7 +73,9 @@
     ``priority`` 0 go first. ``work_ms`` is the usual time of such work, 0 if it isn't
     known. ``depth`` is the number of calls above this one. ``body``
     is the whole body, or its beginning when ``more`` says that `Body` messages and an
-    `End` follow.
+    `End` follow. ``repeat`` says that an attempt before it may have reached an
+    upstream: one that still runs (`SPARE`), that refused it or that failed; or that
+    the call was made by a run that is a repeat itself (`WITHIN`).
     """
 
     stream: StreamId
@@ -79,6 +94,7 @@
     target_ms: float = 0.0
     priority: int = 0
     work_ms: float = 0.0
+    repeat: Repeat = Repeat.FIRST
 
 
 class Body(Message, tag="body"):
--- a/cicadawheel/metrics.py
+++ b/cicadawheel/metrics.py
@@ -55,6 +55,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.repeats = Counter(
+            "cicadawheel_repeats",
+            "Repeats at this gate, by service, cause and outcome.",
+            ["service", "cause", "outcome"],
+            registry=self.registry,
+        )
         self.gate_limit = Gauge(
             "cicadawheel_gate_limit",
             "Requests that the gate lets its upstream have now.",
@@ -92,6 +98,10 @@
         """Count an attempt that a gate refused."""
         self.refusals.labels(reason.value).inc()
 
+    def count_repeat(self, service: ServiceName, cause: Enum, outcome: str) -> None:
+        """Count a repeat that this gate has sent or refused."""
+        self.repeats.labels(service, cause.value, outcome).inc()
+
     def count_probe(self, size_bytes: float) -> None:
         """Count a probe and what it cost."""
         self.probes.inc()
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -154,6 +154,7 @@
         timers.every(caller.CHECK_INTERVAL_MS, self.entry.close_idle)
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
         self.gate.listeners.add(partial(self.entry.observe, self.node))
+        self.gate.repeats.count = self.metrics.count_repeat
         self.gate.guard.peers = ServicePeers(self.gate, self.links, self.control)
 
     def announce(self, announcement: Announcement) -> None:
--- a/cicadawheel/wire/handshake.py
+++ b/cicadawheel/wire/handshake.py
@@ -12,7 +12,7 @@
 from cicadawheel.errors import AuthenticationError, ProtocolError
 from cicadawheel.wire.message import Message
 
-PROTOCOL_VERSION = 7
+PROTOCOL_VERSION = 8
 CHALLENGE_BYTES = 16
 
 
