--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -238,7 +238,7 @@
         self.repeats.call_began(plan.service, now_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
         reserve.seen(plan.priority, now_ms)
-        within = self.gate.repeats.is_within(plan.request, now_ms + plan.deadline_ms)
+        within = self.gate.repeats.is_within(plan.request)
         call = EntryCall(self, connection, request, plan, within)
         self.calls.add(call)
         self.idle.clear()
--- a/cicadawheel/gate/repeats.py
+++ b/cicadawheel/gate/repeats.py
@@ -13,9 +13,6 @@
 CALL_MARK = "."
 """Ends the id of a run in the ids of calls that it makes."""
 
-EXPIRY_TOLERANCE_MS = 10.0
-"""By how much a call may expire after its run: the way from an upstream to its entry."""
-
 KEPT_MS = 1_000.0
 """How long a run is remembered past its deadline: an upstream may end it late."""
 
@@ -25,13 +22,11 @@
 class RepeatedRuns:
     """The runs of one upstream that are repeats, to know the calls that they make.
 
-    A call has the id of its run, or one that goes on from it. Where no call has ever
-    done so, the time at which it expires tells, which is that of its run.
+    A call has the id of its run, or one that goes on from it.
     """
 
     def __init__(self):
         self._expires_at_ms: dict[RequestId, float] = {}
-        self._are_named = False
 
     def began(self, request: RequestId, expires_at_ms: float, now_ms: float) -> None:
         """Take note of a repeat that is sent to the upstream."""
@@ -40,18 +35,10 @@
             del runs[known]
         runs[request] = expires_at_ms
 
-    def include(self, request: RequestId, expires_at_ms: float) -> bool:
+    def include(self, request: RequestId) -> bool:
         """Return whether a call is made by one of the runs."""
         run = request.rpartition(CALL_MARK)[0]
-        if request in self._expires_at_ms or run in self._expires_at_ms:
-            self._are_named = True
-            return True
-        if self._are_named:
-            return False
-        return any(
-            0.0 <= expires_at_ms - at_ms <= EXPIRY_TOLERANCE_MS
-            for at_ms in self._expires_at_ms.values()
-        )
+        return request in self._expires_at_ms or run in self._expires_at_ms
 
 
 class GateRepeats:
@@ -82,9 +69,9 @@
             cause=call.repeat.value,
         )
 
-    def is_within(self, request: RequestId, expires_at_ms: float) -> bool:
+    def is_within(self, request: RequestId) -> bool:
         """Return whether a call of this node's upstream is made within a repeat."""
-        return self._runs.include(request, expires_at_ms)
+        return self._runs.include(request)
 
 
 def _count_nowhere(service: ServiceName, cause: Repeat, outcome: str) -> None:
