Gates pay for repeats, also for those within a run that is a repeat

Callers saw: on Cofio the service studio got 141 arrivals beyond the first of their requests where 140 are allowed (BUDGET). Cause: an account that doesn't follow the work. A second send at reminders was charged to reminders; the calls that its run makes at studio were charged to nobody, and a factor of 0.5 was to leave room for them. Change: every sending passes the gate of its upstream, so each gate of a service keeps an account: a share of the first sendings in the last half window and its part of the slack. An attempt that is a repeat says so; a call that a repeated run makes is one too, at any depth, since the node beside the upstream knows its runs. A gate refuses a repeat that it can't pay before its upstream sees it; gates tell entries whether they have room, so that these don't ask in vain. The factor is gone. The tests of the entries' account are replaced by ones as strict on that of the gates. Why it works: the rule counts arrivals, and the gate is where they are made; no constant depends on how services call each other.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -182,6 +182,10 @@
 
     def _try(self) -> None:
         self.state = CallState.TRYING
+        if self._is_over_budget():
+            self.entry.repeat_unsent(self.plan, self._repeat())
+            self._refuse(RefusalReason.RETRY_BUDGET)
+            return
         pick = self._pick()
         if pick is None:
             self._refuse(self._last_reason or RefusalReason.NO_UPSTREAM)
@@ -197,9 +201,11 @@
                 self._attempts.plan_hedge(self._hedge)
 
     def _pick(self) -> Pick | None:
-        return self.entry.pick(
-            self.plan, self._attempts.tried, self._only_at, len(self._body.beginning)
-        )
+        avoided = self._attempts.tried
+        if self._repeat() is not Repeat.FIRST:
+            avoided = avoided | self.entry.repeats.spent(self.plan.service)
+        size_bytes = len(self._body.beginning)
+        return self.entry.pick(self.plan, avoided, self._only_at, size_bytes)
 
     def consider_hedge(self) -> None:
         """Send the call once more if another upstream would answer far sooner."""
@@ -214,13 +220,14 @@
         if pick is None or pick.member.node in self._attempts.tried:
             return
         gain_ms = self.entry.hedge_gain_ms(self.plan, live[0].pick, pick, 0)
-        if gain_ms > HEDGE_GAIN_MS and self.entry.may_hedge(self.plan):
+        other = pick.member.node
+        if gain_ms > HEDGE_GAIN_MS and self.entry.may_hedge(self.plan, other):
             log_event(
                 log,
                 "call_hedged",
                 request=self.plan.request,
                 node=live[0].node,
-                other=pick.member.node,
+                other=other,
                 gain_ms=gain_ms,
             )
             self._open_attempt(pick)
@@ -240,9 +247,15 @@
         pick = self._pick()
         if pick is None or pick.member.node in tried:
             return
-        if self.entry.may_hedge(self.plan):
+        if self.entry.may_hedge(self.plan, pick.member.node):
             self._open_attempt(pick)
 
+    def _is_over_budget(self) -> bool:
+        """Return whether the next attempt is a repeat that every gate would refuse."""
+        if self._only_at or self._repeat() is Repeat.FIRST:
+            return False
+        return self.entry.repeats.is_spent(self.plan.service)
+
     def _make_open(self, version) -> CallOpen:
         left_ms = self.deadline_at_ms - self.entry.clock.now_ms()
         margin_ms = min(GATE_MARGIN_MS, left_ms * GATE_MARGIN_SHARE)
@@ -329,7 +342,7 @@
             pick = self._pick() if self._may_hand_over() else None
             if pick is None or pick.member.node in self._attempts.tried:
                 return False
-            if not self.entry.repeats.may_retry_answer(self.plan, pick.member.node):
+            if not self.entry.repeats.may_retry_answer(pick.member.node):
                 return False
         self._attempts.drop(attempt)
         self.entry.attempt_answered(self.plan, attempt.pick, head)
@@ -376,7 +389,7 @@
             return False
         if self._attempts.count >= HANDOVER_LIMIT:
             return False
-        return self.entry.repeats.may_retry(self.plan, refused, reached)
+        return self.entry.repeats.may_retry(self.plan, refused)
 
     def _store_answer(self, answer: Answer) -> None:
         if self._claim is not None:
--- a/cicadawheel/entry/candidate.py
+++ b/cicadawheel/entry/candidate.py
@@ -8,6 +8,8 @@
 SERVICE_TIME_HALF_LIFE_MS = 2_000.0
 UNKNOWN_SERVICE_TIME_MS = 1.0
 CLOSED_MS = 1_000.0
+# Whether a gate may send a repeat changes as its window moves on; older news are void.
+REPEATS_KNOWN_MS = 1_000.0
 # The cost of use, in service times. It rises gently, since there is hardly a wait
 # before the slots are taken, and a slow upstream costs its whole time at once.
 USE_COST = 0.5
@@ -124,6 +126,12 @@
         """Return whether one more call is thought to find a free slot."""
         return self.calls() + 1.0 <= self.capacity()
 
+    def may_repeat(self, now_ms: float) -> bool:
+        """Return whether its gate is thought to send one more repeat."""
+        if self.load is None or now_ms - self.load_at_ms > REPEATS_KNOWN_MS:
+            return True
+        return self.load.may_repeat
+
     def in_flight(self, now_ms: float, half_life_ms: float) -> float:
         """Return the estimate of the calls that it has.
 
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -49,6 +49,7 @@
     Probe,
     RefusalReason,
     Refused,
+    Repeat,
     ReplyHead,
     ReplySink,
 )
@@ -152,7 +153,6 @@
     def set_members(self, members: list[Member]) -> None:
         """Replace the list of upstreams."""
         self.router.set_members(members, self.clock.now_ms())
-        self.repeats.share_with(len(members))
         self.links.keep_only({member.node for member in members})
         self._keep_links()
 
@@ -235,7 +235,6 @@
             connection.respond(answer.status, answer.headers, answer.body)
             return None
         now_ms = self.clock.now_ms()
-        self.repeats.call_began(plan.service, now_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
         reserve.seen(plan.priority, now_ms)
         within = self.gate.repeats.is_within(plan.request)
@@ -329,6 +328,10 @@
             return self.gate.open(call, sink)
         return self.links.link(member).open(call, sink)
 
+    def repeat_unsent(self, plan: CallPlan, cause: Repeat) -> None:
+        """Take note of a repeat that every gate is known to refuse."""
+        self.metrics.count_repeat(plan.service, cause, "unsent")
+
     def attempt_answered(self, plan: CallPlan, pick: Pick, head: ReplyHead) -> None:
         """Take note of an upstream's answer."""
         now_ms = self.clock.now_ms()
@@ -402,9 +405,9 @@
             return None
         return self.latencies.quantile_ms(plan.service, quantile)
 
-    def may_hedge(self, plan: CallPlan) -> bool:
+    def may_hedge(self, plan: CallPlan, node: NodeId) -> bool:
         """Return whether the service's retry budget allows a second attempt."""
-        allowed = self.repeats.may_hedge(plan)
+        allowed = self.repeats.may_hedge(plan, node)
         if allowed:
             self.metrics.hedges.labels(plan.service).inc()
         return allowed
--- a/cicadawheel/entry/owner.py
+++ b/cicadawheel/entry/owner.py
@@ -13,7 +13,13 @@
 from cicadawheel.http.dialect import Dialect
 from cicadawheel.http.fields import Headers
 from cicadawheel.ids import Fingerprint, NodeId
-from cicadawheel.messages import Header, RefusalReason, Refused, ReplyHead
+from cicadawheel.messages import (
+    Header,
+    RefusalReason,
+    Refused,
+    Repeat,
+    ReplyHead,
+)
 from cicadawheel.timer import Clock
 
 
@@ -61,9 +67,12 @@
     ) -> float:
         """Return how much sooner a second send is expected to answer."""
 
-    def may_hedge(self, plan: CallPlan) -> bool:
+    def may_hedge(self, plan: CallPlan, node: NodeId) -> bool:
         """Return whether the service's retry budget allows a second attempt."""
 
+    def repeat_unsent(self, plan: CallPlan, cause: Repeat) -> None:
+        """Take note of a repeat that every gate is known to refuse."""
+
     def attempt_answered(self, plan: CallPlan, pick: Pick, head: ReplyHead) -> None:
         """Take note of an upstream's answer."""
 
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -196,6 +196,24 @@
         candidate = self._candidates.get(node)
         return candidate is not None and candidate.has_room()
 
+    def may_repeat(self, node: NodeId, now_ms: float) -> bool:
+        """Return whether a node's gate is thought to send one more repeat."""
+        candidate = self._candidates.get(node)
+        return candidate is not None and candidate.may_repeat(now_ms)
+
+    def spent(self, service: ServiceName, now_ms: float) -> set[NodeId]:
+        """Return the nodes of a service whose gates are thought to send no repeat."""
+        return {
+            candidate.member.node
+            for candidate in self._group(service, VersionName("")).everyone
+            if not candidate.may_repeat(now_ms)
+        }
+
+    def is_spent(self, service: ServiceName, now_ms: float) -> bool:
+        """Return whether no gate of a service is thought to send one more repeat."""
+        everyone = self._group(service, VersionName("")).everyone
+        return bool(everyone) and not any(one.may_repeat(now_ms) for one in everyone)
+
     def work_done_ms(self, node: NodeId, now_ms: float) -> float:
         """Return the work that one slot of a node has done, see `Candidate`."""
         candidate = self._candidates.get(node)
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -15,6 +15,7 @@
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.health import HealthReader, HealthReport, read_load
 from cicadawheel.gate.news import LoadNews
+from cicadawheel.gate.repeat_budget import RepeatBudgetReport
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.reports import ReportReader, ReportWatch
 from cicadawheel.gate.suspects import SuspectReport
@@ -52,6 +53,7 @@
     admission: AdmissionReport
     suspects: list[SuspectReport]
     upstream_dead: bool
+    repeats: RepeatBudgetReport | None
 
 
 class Gate:
@@ -177,11 +179,15 @@
             self.admission.report(),
             self.guard.suspects.report(self.clock.now_ms()),
             self.guard.crashes.dead,
+            self.repeats.report(),
         )
 
     def load(self) -> LoadReport:
         """Return what is known of the upstream now."""
-        return self.admission.load(self.configuration.revision, self.clock.now_ms())
+        load = self.admission.load(self.configuration.revision, self.clock.now_ms())
+        if self.repeats.may_repeat():
+            return load
+        return msgspec.structs.replace(load, may_repeat=False)
 
     def open(self, call: CallOpen, sink: ReplySink) -> GateCall:
         """Take a call; its answer goes to ``sink`` as messages."""
@@ -194,6 +200,8 @@
         refusal = self._reason_to_refuse(call)
         if refusal is None:
             refusal = self.guard.treat(gate_call, now_ms)
+        if refusal is None and not self.repeats.offer(ticket, call):
+            refusal = RefusalReason.RETRY_BUDGET
         if refusal is not None:
             gate_call.refuse(refusal, not_run=True)
             return gate_call
@@ -257,6 +265,7 @@
             return
         if not self._calls:
             self.idle.set()
+        self.repeats.ended(call.ticket)
         if result is None:
             self.admission.withdraw(call.ticket)
             return
--- a/cicadawheel/gate/repeats.py
+++ b/cicadawheel/gate/repeats.py
@@ -2,7 +2,11 @@
 
 import logging
 from collections.abc import Callable
+from typing import Any
 
+import msgspec
+
+from cicadawheel.gate.repeat_budget import RepeatBudget, RepeatBudgetReport
 from cicadawheel.ids import RequestId, ServiceName
 from cicadawheel.logs import log_event
 from cicadawheel.messages import CallOpen, Repeat
@@ -16,6 +20,13 @@
 KEPT_MS = 1_000.0
 """How long a run is remembered past its deadline: an upstream may end it late."""
 
+SPARE_PART = 0.75
+"""The part of the budget for sends beside one that still runs; the rest is kept for
+requests that have failed or were refused."""
+
+SENT = "sent"
+REFUSED = "refused"
+
 CountRepeat = Callable[[ServiceName, Repeat, str], None]
 
 
@@ -42,7 +53,7 @@
 
 
 class GateRepeats:
-    """Counts the repeats that a gate sends to its upstream.
+    """Pays for the repeats that a gate sends to its upstream, and counts them.
 
     Parameters
     ----------
@@ -52,27 +63,72 @@
 
     def __init__(self, clock: Clock):
         self.clock = clock
+        self.budget: RepeatBudget | None = None
         self.count: CountRepeat = _count_nowhere
         self._runs = RepeatedRuns()
-
-    def sent(self, call: CallOpen, expires_at_ms: float) -> None:
+        self._reserved: set[int] = set()
+
+    def share_with(self, gates: int) -> None:
+        """Take how many gates the service of the upstream has."""
+        if self.budget is not None:
+            self.budget.share_with(gates, self.clock.now_ms())
+
+    def offer(self, ticket: int, call: CallOpen) -> bool:
+        """Put by what a request costs, and return whether the budget allows it."""
+        if self.budget is None or call.repeat is Repeat.FIRST:
+            return True
+        part = SPARE_PART if call.repeat is Repeat.SPARE else 1.0
+        if self.budget.reserve(self.clock.now_ms(), part):
+            self._reserved.add(ticket)
+            return True
+        self.count(call.service, call.repeat, REFUSED)
+        log_event(log, "repeat_refused", **self._fields(call))
+        return False
+
+    def sent(self, ticket: int, call: CallOpen, expires_at_ms: float) -> None:
         """Take note of a request that is sent to the upstream."""
+        now_ms = self.clock.now_ms()
         if call.repeat is Repeat.FIRST:
+            if self.budget is not None:
+                self.budget.request_sent(now_ms)
             return
-        self._runs.began(call.request, expires_at_ms, self.clock.now_ms())
-        self.count(call.service, call.repeat, "sent")
-        log_event(
-            log,
-            "repeat_sent",
-            request=call.request,
-            service=call.service,
-            cause=call.repeat.value,
-        )
+        if ticket in self._reserved:
+            self._reserved.remove(ticket)
+            self.budget.spend(now_ms)
+        self._runs.began(call.request, expires_at_ms, now_ms)
+        self.count(call.service, call.repeat, SENT)
+        log_event(log, "repeat_sent", **self._fields(call))
+
+    def ended(self, ticket: int) -> None:
+        """Free what was put by for a request that was never sent."""
+        if ticket in self._reserved:
+            self._reserved.remove(ticket)
+            self.budget.give_back()
 
     def is_within(self, request: RequestId) -> bool:
         """Return whether a call of this node's upstream is made within a repeat."""
         return self._runs.include(request)
 
+    def may_repeat(self) -> bool:
+        """Return whether the budget has room for one more repeat."""
+        return self.budget is None or self.budget.allows(self.clock.now_ms())
+
+    def report(self) -> RepeatBudgetReport | None:
+        """Return the budget for operators, None where there is none."""
+        if self.budget is None:
+            return None
+        return self.budget.report(self.clock.now_ms())
+
+    def _fields(self, call: CallOpen) -> dict[str, Any]:
+        report = self.report()
+        known = {} if report is None else msgspec.structs.asdict(report)
+        return {
+            "request": call.request,
+            "service": call.service,
+            "cause": call.repeat.value,
+            **known,
+        }
+
 
 def _count_nowhere(service: ServiceName, cause: Repeat, outcome: str) -> None:
     """Stand in while there are no metrics."""
--- a/cicadawheel/messages.py
+++ b/cicadawheel/messages.py
@@ -32,6 +32,7 @@
     1.0 when the upstream is warm. ``boot`` changes when the upstream restarts.
     ``slowness`` is how many times the usual its work takes at this moment, where the
     upstream tells it; ``service_time_ms`` is then that at the usual speed.
+    ``may_repeat`` says whether the gate's budget has room for a repeat.
     """
 
     in_flight: int
@@ -43,6 +44,7 @@
     boot: BootId
     revision: Revision
     slowness: float = 1.0
+    may_repeat: bool = True
 
 
 class Header(msgspec.Struct, array_like=True, frozen=True):
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -19,6 +19,7 @@
 from cicadawheel.entry.probing import REPORT_COST_BYTES
 from cicadawheel.entry.router import Router
 from cicadawheel.gate.gate import Gate, GateReport
+from cicadawheel.gate.repeat_budget import RepeatBudget
 from cicadawheel.gate.server import serve_peers
 from cicadawheel.http import caller
 from cicadawheel.http.caller import CallerConnection
@@ -155,12 +156,19 @@
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
         self.gate.listeners.add(partial(self.entry.observe, self.node))
         self.gate.repeats.count = self.metrics.count_repeat
+        if settings.entry.shares_retries:
+            self.gate.repeats.budget = RepeatBudget(
+                settings.entry.retry_share,
+                settings.entry.retry_slack,
+                settings.entry.retry_window_ms,
+            )
         self.gate.guard.peers = ServicePeers(self.gate, self.links, self.control)
 
     def announce(self, announcement: Announcement) -> None:
         """Take note of the upstream beside this node, and register it."""
         self.announced_at_ms = self.clock.now_ms()
         self.gate.announce(announcement)
+        self._share_repeats()
         self._register()
 
     def announced(self, announcement: Announcement, number: int, leaving: bool) -> None:
@@ -212,6 +220,7 @@
         self.entry.quarantined = view.quarantined
         self.entry.configure(view.configuration)
         self.entry.set_members(list(view.members.values()))
+        self._share_repeats()
         self.releases.configure(view.configuration, view.members.values())
         self.metrics.revision.set(view.configuration.revision)
         log_event(
@@ -222,6 +231,15 @@
             members=len(view.members),
         )
 
+    def _share_repeats(self) -> None:
+        """Tell the gate how many gates its service has, itself included."""
+        known = self.gate.announcement
+        if known is not None:
+            members = self.control.view.members.values()
+            others = [one for one in members if one.node != self.node]
+            same = sum(member.service == known.service for member in others)
+            self.gate.repeats.share_with(same + 1)
+
     def load_told(self, node: NodeId, load: LoadReport) -> None:
         """Take a node's load that a probe has brought."""
         self.entry.observe(node, load)
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -115,6 +115,11 @@
     head_limit_bytes: Positive = 32_768
     connection_limit: Positive = 4_096
 
+    @property
+    def shares_retries(self) -> bool:
+        """Whether all nodes share a budget of repeats."""
+        return bool(self.retry_share or self.retry_slack)
+
 
 class ControlSettings(msgspec.Struct, frozen=True):
     """Section ``[control]``."""
--- a/test/repeat_fleet.py
+++ b/test/repeat_fleet.py
@@ -9,7 +9,7 @@
 from bisect import bisect_right
 from random import Random
 
-from cicadawheel.entry.window_budget import WindowBudget
+from cicadawheel.gate.repeat_budget import RepeatBudget
 
 SHARE = 0.2
 SLACK = 56.0
@@ -32,11 +32,12 @@
 
     def start(self, nodes, now_ms):
         self.up = True
-        self.budget = WindowBudget(SHARE, SLACK, WINDOW_MS)
+        self.budget = RepeatBudget(SHARE, SLACK, WINDOW_MS)
         self.see(nodes, now_ms)
 
     def see(self, nodes, now_ms):
-        self.budget.entries = len(nodes)
+        gates = sum(node.service == self.service for node in nodes)
+        self.budget.share_with(gates, now_ms)
 
 
 class Call:
@@ -111,7 +112,6 @@
             return
         if not within:
             self.requests[service].append(self.now_ms)
-        entry.budget.call_began(service, self.now_ms)
         self._try(Call(service, entry, within))
 
     def excess(self):
@@ -130,14 +130,15 @@
         )
 
     def _try(self, call):
-        gate = self._pick(lambda node: node.up and node.service == call.service)
-        if gate is None:
-            return
         repeat = call.within or call.reached
-        if call.reached and not call.entry.budget.take(call.service, 1.0, self.now_ms):
+        gate = self._find_gate(call.service, repeat)
+        if gate is None:
             return
         if repeat:
+            gate.budget.spend(self.now_ms)
             self.repeats[call.service].append(self.now_ms)
+        else:
+            gate.budget.request_sent(self.now_ms)
         call.reached += 1
         drawn = self.random.random()
         if drawn < self.refused[call.service]:
@@ -151,6 +152,17 @@
         if drawn < self.refused[call.service] + self.failed[call.service]:
             self._try_again(call)
 
+    def _find_gate(self, service, repeat):
+        tried = set()
+        for _ in range(HANDOVERS):
+            gate = self._pick(
+                lambda node: node.up and node.service == service and node not in tried
+            )
+            if gate is None or not repeat or gate.budget.reserve(self.now_ms):
+                return gate
+            tried.add(gate)
+        return None
+
     def _try_again(self, call):
         if call.reached < ATTEMPTS and call.entry.up:
             self.at(WORK_MS, self._try, call)
--- /dev/null
+++ b/test/test_repeat_budget.py
@@ -0,0 +1,111 @@
+"""Each gate keeps to its part of the budget that all gates of a service share."""
+
+from random import Random
+
+import pytest
+
+from cicadawheel.gate.repeat_budget import RepeatBudget
+from cicadawheel.gate.repeats import SPARE_PART, GateRepeats, RepeatedRuns
+from cicadawheel.messages import CallOpen, Repeat
+
+SHARE = 0.2
+SLACK = 56.0
+WINDOW_MS = 10_000.0
+
+
+class FixedClock:
+    """Stands still."""
+
+    def now_ms(self):
+        return 0.0
+
+
+def make_budget(share=SHARE, slack=SLACK, gates=1):
+    budget = RepeatBudget(share, slack, WINDOW_MS)
+    budget.share_with(gates, 0.0)
+    return budget
+
+
+def take(budget, now_ms, part=1.0):
+    """Send one repeat if the budget allows it, and return whether it does."""
+    allowed = budget.reserve(now_ms, part)
+    if allowed:
+        budget.spend(now_ms)
+    return allowed
+
+
+def make_call(repeat, request="r"):
+    fields = ("s", "", "GET", "/", (), b"", False, 100.0, 0, True, "f")
+    return CallOpen(0, request, *fields, repeat=repeat)
+
+
+def test_slack_is_shared_among_the_gates():
+    budget = make_budget(gates=8)
+    assert sum(take(budget, 0.0) for _ in range(100)) == int(SLACK / 8)
+
+
+def test_what_was_spent_is_free_again_after_the_window():
+    budget = make_budget(slack=5.0)
+    while take(budget, 0.0):
+        pass
+    assert not take(budget, WINDOW_MS - 1.0)
+    assert take(budget, WINDOW_MS)
+
+
+def test_only_a_part_is_for_sends_beside_one_that_still_runs():
+    budget = make_budget(slack=8.0)
+    assert sum(take(budget, 0.0, SPARE_PART) for _ in range(20)) == 6
+    assert sum(take(budget, 0.0) for _ in range(20)) == 2
+
+
+def test_what_is_put_by_counts_until_it_is_given_back():
+    budget = make_budget(slack=1.0)
+    assert budget.reserve(0.0)
+    assert not budget.reserve(0.0)
+    budget.give_back()
+    assert budget.reserve(0.0)
+
+
+def test_request_that_never_leaves_its_gate_costs_nothing():
+    repeats = GateRepeats(FixedClock())
+    repeats.budget = make_budget(slack=1.0)
+    assert repeats.offer(1, make_call(Repeat.REFUSED))
+    assert not repeats.offer(2, make_call(Repeat.FAILED))
+    assert not repeats.may_repeat()
+    repeats.ended(1)
+    assert repeats.offer(3, make_call(Repeat.WITHIN))
+    repeats.sent(3, make_call(Repeat.WITHIN), 100.0)
+    repeats.ended(3)
+    assert repeats.report().spent == 1
+    assert repeats.offer(4, make_call(Repeat.FIRST))
+
+
+def test_calls_of_repeated_runs_are_known_by_their_ids():
+    runs = RepeatedRuns()
+    runs.began("4f", 1_000.0, 0.0)
+    assert runs.include("4f.1")
+    assert runs.include("4f")
+    assert not runs.include("4f2")
+    assert not runs.include("5e.1")
+    runs.began("5e", 9_000.0, 8_000.0)
+    assert not runs.include("4f.1")
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_all_gates_together_keep_the_bound_in_any_window(seed):
+    draw = Random(seed)
+    budgets = [make_budget(gates=9) for _ in range(9)]
+    requests, repeats = [], []
+    now_ms = 0.0
+    while now_ms < 60_000.0:
+        now_ms += draw.expovariate(0.05 if now_ms < 20_000 else 0.005)
+        budget = draw.choice(budgets)
+        budget.request_sent(now_ms)
+        requests.append(now_ms)
+        if draw.random() < 0.9 and take(budget, now_ms):
+            repeats.append(now_ms)
+    assert repeats
+    for end_ms in repeats:
+        in_window = [at for at in repeats if end_ms - WINDOW_MS < at <= end_ms]
+        asked = [at for at in requests if end_ms - WINDOW_MS < at <= end_ms]
+        assert len(in_window) <= SHARE * len(asked) + SLACK
