Odd beats, documents and load figures are refused whole

Report: another writer left one odd entry among the backends, very deeply nested, with a number too large, or with a port out of range; readers ended or stopped following the list. Can it happen here: a process didn't end by it. But RecursionError passed the decoders (an answer of 500 in place of 400, for documents too); 'slots' and 'sequence' had no upper bound, and a 'born' far ahead made each true beat that followed look old, so that the node gave its upstream up; Backend-Load of 'inf' or '1e300' raised in the middle of an answer, or made a limit that can't be told to other nodes. A port out of range was refused already. Change: one reader of bodies in platform/, whose numbers are bounded; load and cold figures out of bounds say nothing. Evidence: 13 new cases in test_platform_formats.py fail before and pass now.

--- a/cicadawheel/announcement.py
+++ b/cicadawheel/announcement.py
@@ -17,6 +17,12 @@
 HEADER_REASON = b"cicadawheel-reason"
 HEADER_IDEMPOTENCY_KEY = b"idempotency-key"
 
+SLOTS_LIMIT = 100_000
+"""More than any upstream runs at once."""
+
+COLD_LIMIT_MS = 3_600_000.0
+"""An hour: no upstream stays cold for longer."""
+
 NotEmpty = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 
@@ -33,12 +39,12 @@
     service: Annotated[ServiceName, msgspec.Meta(min_length=1, max_length=200)]
     version: Annotated[VersionName, msgspec.Meta(min_length=1, max_length=200)]
     port: Annotated[int, msgspec.Meta(ge=1, le=65_535)]
-    slots: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=SLOTS_LIMIT)]
     connections: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     host: NotEmpty = "127.0.0.1"
     health_path: str = "/health"
     load_path: str = "/load"
-    cold_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_ms: Annotated[float, msgspec.Meta(ge=0, le=COLD_LIMIT_MS)] = 0.0
 
 
 class AnnounceAnswer(msgspec.Struct, frozen=True):
--- a/cicadawheel/gate/health.py
+++ b/cicadawheel/gate/health.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cicadawheel.announcement import UpstreamLoad
+from cicadawheel.announcement import COLD_LIMIT_MS, UpstreamLoad
 from cicadawheel.http.dialect import Dialect
 from cicadawheel.http.fields import ResponseHead, find_field
 from cicadawheel.http.upstream import ExchangeEnd, UpstreamConnection
@@ -37,9 +37,11 @@
     named = find_field(headers, dialect.upstream) or b""
     cold = find_field(headers, dialect.cold_ms)
     try:
-        cold_ms = None if cold is None else max(0.0, float(cold))
+        cold_ms = None if cold is None else float(cold)
     except ValueError:
         cold_ms = None
+    if cold_ms is not None:
+        cold_ms = max(0.0, cold_ms) if cold_ms <= COLD_LIMIT_MS else None
     return HealthReport(
         UpstreamId(named.decode("latin-1")),
         response.status_code == OK_STATUS,
--- a/cicadawheel/gate/reports.py
+++ b/cicadawheel/gate/reports.py
@@ -118,5 +118,5 @@
         return None
     try:
         return msgspec.json.decode(answer.body, type=UpstreamLoad)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
--- a/cicadawheel/http/exchange.py
+++ b/cicadawheel/http/exchange.py
@@ -187,7 +187,7 @@
         return await handler(HttpRequest(method, target, headers, content))
     except msgspec.ValidationError as error:
         return text_answer(f"the body can't be used: {error}\n", 400)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return text_answer(f"the body is no JSON: {error}\n", 400)
     except CicadawheelError as error:
         log_event(log, "exchange_failed", target=target, reason=str(error))
--- a/cicadawheel/http/upstream.py
+++ b/cicadawheel/http/upstream.py
@@ -22,7 +22,7 @@
 
 log = logging.getLogger(__name__)
 
-KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
+KEEP_ALIVE = re.compile(rb"timeout=(\d{1,9})(?!\d)")
 # An idle connection is given up so long before its upstream closes it, which it does
 # by a clock of whole seconds.
 IDLE_MARGIN_S = 1.5
--- a/cicadawheel/platform/beats.py
+++ b/cicadawheel/platform/beats.py
@@ -4,9 +4,15 @@
 
 import msgspec
 
-from cicadawheel.announcement import Announcement
+from cicadawheel.announcement import SLOTS_LIMIT, Announcement
 from cicadawheel.configuration import ServiceRule
 from cicadawheel.ids import BootId, ServiceName, UpstreamId, VersionName
+from cicadawheel.platform.bodies import (
+    DURATION_LIMIT_S,
+    NUMBER_LIMIT,
+    BornMs,
+    decode_body,
+)
 from cicadawheel.settings import Address, parse_address
 from cicadawheel.timer import MS_PER_S
 
@@ -29,17 +35,17 @@
     address: Name
     zone: Name
     version: Name
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=SLOTS_LIMIT)]
     state: Literal["ready", "draining"]
-    sequence: Annotated[int, msgspec.Meta(ge=0)]
-    cold_remaining_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=NUMBER_LIMIT)]
+    cold_remaining_s: Annotated[float, msgspec.Meta(ge=0, le=DURATION_LIMIT_S)] = 0.0
+    born: BornMs = 0
 
 
 class LeaveBody(msgspec.Struct, frozen=True):
     """The body of a deregistration, which may be empty."""
 
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: BornMs = 0
 
 
 class Beat(msgspec.Struct, frozen=True):
@@ -80,10 +86,7 @@
     ValueError
         It can't be read, or lacks a field.
     """
-    try:
-        beat = msgspec.json.decode(body, type=BeatBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ValueError(str(error)) from error
+    beat = decode_body(body, BeatBody)
     return Beat(
         upstream=UpstreamId(upstream),
         born_ms=beat.born,
@@ -107,8 +110,5 @@
     """
     if not body.strip():
         return BootId("")
-    try:
-        leave = msgspec.json.decode(body, type=LeaveBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ValueError(str(error)) from error
+    leave = decode_body(body, LeaveBody)
     return BootId(str(leave.born)) if leave.born else BootId("")
--- a/cicadawheel/platform/control.py
+++ b/cicadawheel/platform/control.py
@@ -30,6 +30,7 @@
 )
 from cicadawheel.ids import DataCentreName, OperationId, ServiceName, VersionName
 from cicadawheel.logs import log_event
+from cicadawheel.platform.bodies import Seconds, decode_body
 from cicadawheel.platform.document import decode_document
 from cicadawheel.timer import MS_PER_S
 
@@ -59,7 +60,7 @@
 
     service: str
     target_version: str
-    duration_s: float
+    duration_s: Seconds
 
 
 class RolloutState(msgspec.Struct, frozen=True):
@@ -136,8 +137,8 @@
 
     async def _start_rollout(self, request: HttpRequest, of: str) -> HttpAnswer:
         try:
-            rollout = msgspec.json.decode(request.body, type=RolloutBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            rollout = decode_body(request.body, RolloutBody)
+        except ValueError as error:
             return text_answer(f"{error}\n", INVALID)
         outcome = await self.orders.start_release(
             ServiceName(rollout.service),
--- a/cicadawheel/platform/document.py
+++ b/cicadawheel/platform/document.py
@@ -16,6 +16,13 @@
     ServiceShare,
 )
 from cicadawheel.ids import DataCentreName, RouteName, ServiceName
+from cicadawheel.platform.bodies import (
+    Finite,
+    Seconds,
+    WholeNumber,
+    canonical_body,
+    decode_body,
+)
 from cicadawheel.timer import MS_PER_S
 
 REPEAT_OF_KIND = {
@@ -30,16 +37,16 @@
 
     name: str
     health_path: str = "/health"
-    max_connections: int = 100
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
+    max_connections: WholeNumber = 100
+    cold_start_s: Seconds = 0.0
+    cold_per_s: Finite = 0.0
 
 
 class ShareBody(msgspec.Struct, frozen=True):
     """A service's part of a route."""
 
     service: str
-    weight: float
+    weight: Finite
 
 
 class PathBody(msgspec.Struct, frozen=True):
@@ -50,11 +57,11 @@
 
     path_prefix: str
     route_type: Literal["idempotent", "non_idempotent", "upload"]
-    timeout_s: float
-    target_latency_s: float
-    max_attempts: int
+    timeout_s: Seconds
+    target_latency_s: Seconds
+    max_attempts: WholeNumber
     name: str = ""
-    priority: int = 0
+    priority: WholeNumber = 0
     service: str = ""
     weighted_clusters: tuple[ShareBody, ...] = ()
 
@@ -78,19 +85,19 @@
 class LimitsBody(msgspec.Struct, frozen=True):
     """What callers may send."""
 
-    max_header_bytes: int = 0
-    max_body_bytes: int = 0
-    header_timeout_s: float = 0.0
-    idle_timeout_s: float = 0.0
+    max_header_bytes: WholeNumber = 0
+    max_body_bytes: WholeNumber = 0
+    header_timeout_s: Seconds = 0.0
+    idle_timeout_s: Seconds = 0.0
 
 
 class DocumentBody(msgspec.Struct, frozen=True):
     """A whole document; ``base_version`` 0 stands for the first."""
 
-    version: int
+    version: WholeNumber
     services: tuple[ServiceBody, ...]
     virtual_hosts: tuple[HostBody, ...]
-    base_version: int = 0
+    base_version: WholeNumber = 0
     limits: LimitsBody = LimitsBody()
 
 
@@ -125,15 +132,11 @@
     ValueError
         It can't be read in full.
     """
-    try:
-        document = msgspec.json.decode(body, type=DocumentBody)
-        canonical = msgspec.json.encode(msgspec.json.decode(body), order="sorted")
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ValueError(str(error)) from error
+    document = decode_body(body, DocumentBody)
     return Document(
         version=document.version,
         base_version=document.base_version,
-        canonical=canonical,
+        canonical=canonical_body(body),
         services=tuple(_service(service, habits) for service in document.services),
         routes=tuple(
             _route(host.host, path)
--- a/cicadawheel/platform/headers.py
+++ b/cicadawheel/platform/headers.py
@@ -11,6 +11,9 @@
 USUAL_SLOWNESS = 100.0
 """The fourth figure of a load, in hundredths of the usual time for work."""
 
+FIGURE_LIMIT = 1_000_000.0
+"""More calls, slots or hundredths than any upstream has."""
+
 
 def decode_load(value: bytes) -> UpstreamLoad | None:
     """Return the load in a header's value, or None if it can't be read."""
@@ -18,7 +21,7 @@
         figures = [float(figure) for figure in value.split(b",")]
     except ValueError:
         return None
-    if len(figures) < 3:
+    if len(figures) < 3 or not all(0.0 <= one <= FIGURE_LIMIT for one in figures):
         return None
     slowness = figures[3] / USUAL_SLOWNESS if len(figures) > 3 else 1.0
     return UpstreamLoad(
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -134,6 +134,11 @@
         {"service": None},
         {"sequence": None},
         {"born": "yesterday"},
+        {"slots": 2**64 - 1},
+        {"sequence": 2**64 - 1},
+        {"born": 2**63},
+        {"cold_remaining_s": 1e308},
+        {"address": "10.128.0.9:65536"},
     ],
 )
 def test_beat_of_another_writer_is_refused(change):
@@ -141,6 +146,34 @@
         decode_beat("i-1", msgspec.json.encode({**BEAT, **change}))
 
 
+def test_deeply_nested_beat_of_another_writer_is_refused():
+    nested = b'"also":' + b"[" * 100_000 + b"]" * 100_000
+    body = msgspec.json.encode(BEAT)[:-1] + b"," + nested + b"}"
+    with pytest.raises(ValueError, match="recursion"):
+        decode_beat("i-1", body)
+    with pytest.raises(ValueError, match="recursion"):
+        decode_leave(b"{" + nested + b"}")
+
+
+def test_deeply_nested_document_is_refused():
+    body = make_document(also=None).replace(b"null", b"[" * 100_000 + b"]" * 100_000)
+    with pytest.raises(ValueError, match="recursion"):
+        decode_document(body, HABITS)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        make_document({**PATH, "timeout_s": 1e308}),
+        make_document().replace(b'"version":7', b'"version":18446744073709551616'),
+        make_document().replace(b'"priority":1', b'"priority":' + b"9" * 30),
+    ],
+)
+def test_document_with_a_number_too_large_is_refused(body):
+    with pytest.raises(ValueError, match=r".+"):
+        decode_document(body, HABITS)
+
+
 @pytest.mark.parametrize(
     ("body", "boot"), [(b"", ""), (b"{}", ""), (b'{"born":17,"why":1}', "17")]
 )
@@ -166,7 +199,10 @@
     assert (load.in_flight, load.queued, load.slots, load.slowness) == figures
 
 
-@pytest.mark.parametrize("value", [b"", b"3", b"a,b,c", b"3,0"])
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"3", b"a,b,c", b"3,0", b"inf,0,8", b"nan,0,8", b"0,0,1e300", b"0,0,8,inf"],
+)
 def test_load_that_cannot_be_read(value):
     assert decode_load(value) is None
 
