Bytes that an upstream sends without end are bounded

Found: a head without end was bounded by the parser. Not bounded: bodies of refusals (503 not run, 421), answers without a length, which were held until their end (64 MiB and more in a second), bodies of answers to earlier requests, interim heads; and an answer in chunks was sent on before anybody looked for its seal. Change: an answer is checked as soon as its head is there; a refusal's body may have 64 KiB; of an answer without a length 1 MiB is held, and the rest is sent on as the caller reads; 1 MiB of another request's answer and 16 interim heads are passed over, then the connection ends and the call has not been answered.

--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -37,6 +37,8 @@
 from cicadawheel.timer import MS_PER_S, Clock
 
 WHOLE_REPLY_LIMIT_BYTES = 65_536
+HELD_REPLY_LIMIT_BYTES = 1_048_576
+"""The most that is held of an answer without a length until it is known to be whole."""
 FIRST_FAILURE_STATUS = 400
 MISDIRECTED_STATUS = 421
 
@@ -143,6 +145,7 @@
         self._connecting: asyncio.Task | None = None
         self._response: ResponseHead | None = None
         self._reply_parts: list[bytes] = []
+        self._reply_held_bytes = 0
         self._head_sent = False
         self._reply_room_bytes = gate.settings.body_buffer_bytes
         delay_s = call.deadline_ms / MS_PER_S
@@ -216,7 +219,10 @@
             self._service_time_ms = self.gate.clock.now_ms() - self._sent_at_ms
         self.gate.admission.replying(self.ticket)
         self.gate.answer_read(response)
-        if self._is_shed(response) or self._is_misdirected(response):
+        if self._is_refusal(response):
+            return
+        if not self._is_sound(response):
+            self.end_exchange(ExchangeEnd.MALFORMED)
             return
         length = content_length(response.headers)
         chunked = has_field(response.headers, b"transfer-encoding")
@@ -230,13 +236,27 @@
     def body_received(self, data: bytes) -> None:
         """Take a piece of the answer's body."""
         if self.state is not CallState.REPLYING:
-            self._reply_parts.append(data)
+            self._hold(data)
             return
         self._reply_room_bytes -= len(data)
         if self._reply_room_bytes <= 0:
             self._connection.pause()
         self.sink(Body(self.call.stream, data))
 
+    def _hold(self, data: bytes) -> None:
+        """Keep what can't be sent on yet, within bounds."""
+        self._reply_held_bytes += len(data)
+        if self._is_refusal(self._response):
+            if self._reply_held_bytes > WHOLE_REPLY_LIMIT_BYTES:
+                self.end_exchange(ExchangeEnd.MALFORMED)
+            return
+        self._reply_parts.append(data)
+        if self._reply_held_bytes > HELD_REPLY_LIMIT_BYTES:
+            self._reply_room_bytes -= self._reply_held_bytes
+            self._connection.pause()
+            self._send_head(b"".join(self._reply_parts), more=True)
+            self._reply_parts.clear()
+
     def body_ended(self) -> None:
         """Tell the entry that the answer is whole."""
         self._connection = None
@@ -248,9 +268,6 @@
             self.gate.upstream_is_another()
             self._refuse_reached(RefusalReason.NO_UPSTREAM, Result.FAILED)
             return
-        if not self._head_sent and not self._is_sound(self._response):
-            self.end_exchange(ExchangeEnd.MALFORMED)
-            return
         self.answered_whole = True
         failed = self._response.status_code >= 500
         self._end(Result.FAILED if failed else Result.ANSWERED)
@@ -280,6 +297,10 @@
         """Let the entry send more of the request's body."""
         self._return_credit(0)
 
+    def _is_refusal(self, response: ResponseHead) -> bool:
+        """Return whether the upstream says that it doesn't run the request."""
+        return self._is_shed(response) or self._is_misdirected(response)
+
     def _is_shed(self, response: ResponseHead) -> bool:
         if response.status_code < FIRST_FAILURE_STATUS:
             return False
--- a/cicadawheel/http/upstream.py
+++ b/cicadawheel/http/upstream.py
@@ -28,6 +28,10 @@
 IDLE_MARGIN_S = 1.5
 # The most bytes that the parser is told anew of a body which it has sent already.
 REPLAY_LIMIT_BYTES = 1_048_576
+# The most of an answer to an earlier request that is passed over.
+SKIPPED_LIMIT_BYTES = 1_048_576
+# Interim heads before an answer; an upstream has a use for one or two.
+INTERIM_LIMIT = 16
 
 
 class ExchangeEnd(Enum):
@@ -84,6 +88,8 @@
         self._got_head = False
         self._reading = True
         self._skipping = False
+        self._skipped_bytes = 0
+        self._interim_heads = 0
         self._is_tainted = False
         self._request: h11.Request | None = None
         self._body_bytes = 0
@@ -122,6 +128,7 @@
         """Write the head and the beginning of the body in one write."""
         self.wrote_request = True
         self._got_head = False
+        self._interim_heads = 0
         self._request = h11.Request(method=method, target=target, headers=fields)
         self._body_bytes = 0
         data = self._http.send(self._request)
@@ -213,8 +220,14 @@
             return False
         if isinstance(event, h11.Response):
             self._take_head(read_response(event))
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim_heads += 1
+            if self._interim_heads > INTERIM_LIMIT:
+                self._fail(ExchangeEnd.MALFORMED)
         elif isinstance(event, h11.Data):
-            if not self._skipping:
+            if self._skipping:
+                self._skip(event.data)
+            else:
                 self.owner.body_received(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             if self._skipping:
@@ -225,6 +238,11 @@
             return False
         return True
 
+    def _skip(self, data: bytes) -> None:
+        self._skipped_bytes += len(data)
+        if self._skipped_bytes > SKIPPED_LIMIT_BYTES:
+            self._fail(ExchangeEnd.MALFORMED)
+
     def _take_head(self, response: ResponseHead) -> None:
         self._skipping = not self.owner.expects(response)
         if self._skipping:
--- /dev/null
+++ b/test/test_endless_answers.py
@@ -0,0 +1,124 @@
+"""Bytes that upstreams send without end are neither kept nor read on for long."""
+
+import asyncio
+import contextlib
+
+import pytest
+from site_in_loop import until
+
+from cicadawheel.announcement import Announcement
+from cicadawheel.configuration import Configuration, ServiceRule
+from cicadawheel.gate.gate import Gate
+from cicadawheel.messages import (
+    Body,
+    CallOpen,
+    Header,
+    RefusalReason,
+    Refused,
+    ReplyHead,
+)
+from cicadawheel.platform.headers import PLATFORM_DIALECT
+from cicadawheel.settings import GateSettings
+from cicadawheel.timer import make_timer_service
+
+DEADLINE_MS = 5_000.0
+POLLS = 10
+READ_LIMIT_BYTES = 16 * 1_048_576
+"""What sockets and buffers hold, far below what a second of sending brings."""
+PIECE = bytes(65_536)
+OWN = "Attempt-Id: r\r\nServer-Seal: s\r\n"
+NOT_RUN = "HTTP/1.1 503 X\r\nAttempt-Id: r\r\nNot-Executed: 1\r\n"
+CHUNK = b"10000\r\n" + PIECE + b"\r\n"
+
+
+class EndlessUpstream:
+    """Answers with a head, then with the same piece until it is cut off."""
+
+    def __init__(self, head, piece):
+        self.head = head.encode()
+        self.piece = piece
+        self.sent_bytes = 0
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.head)
+            while self.sent_bytes < 4 * READ_LIMIT_BYTES:
+                writer.write(self.piece)
+                self.sent_bytes += len(self.piece)
+                await writer.drain()
+        writer.close()
+
+
+async def ask(upstream, is_done):
+    """Return the messages that a call at the gate brings until it is done."""
+    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    settings = GateSettings(limit="told")
+    gate = Gate(settings, "dc", make_timer_service(), "n1", PLATFORM_DIALECT)
+    gate.configure(Configuration(1, services={"s": ServiceRule("s", DEADLINE_MS)}))
+    gate.announce(Announcement("u", "1", "s", "v1", port, 4, 20, host))
+    headers = (Header(b"host", b"s"),)
+    fields = ("s", "", "GET", "/x", headers, b"", False, DEADLINE_MS, 0, True, "f")
+    messages = []
+    call = gate.open(CallOpen(1, "r", *fields), messages.append)
+    await until(lambda: is_done(messages))
+    call.refuse(RefusalReason.CANCELLED, not_run=False)
+    gate.close()
+    server.close()
+    return messages
+
+
+def has_ended(messages):
+    return bool(messages) and isinstance(messages[-1], Refused)
+
+
+@pytest.mark.parametrize(
+    ("head", "piece"),
+    [
+        pytest.param("HTTP/1.1 200 OK\r\n", b"X-Y: z\r\n" * 512, id="head"),
+        pytest.param("", b"HTTP/1.1 100 Continue\r\n\r\n" * 512, id="interim heads"),
+        pytest.param("", PIECE, id="no answer"),
+        pytest.param(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n",
+            CHUNK,
+            id="chunks without a seal",
+        ),
+        pytest.param("HTTP/1.1 200 OK\r\nAttempt-Id: r\r\n\r\n", PIECE, id="no seal"),
+        pytest.param(
+            f"{NOT_RUN}Transfer-Encoding: chunked\r\n\r\n", CHUNK, id="refusal, chunks"
+        ),
+        pytest.param(f"{NOT_RUN}\r\n", PIECE, id="refusal, no length"),
+        pytest.param(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: q\r\nServer-Seal: s\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n",
+            CHUNK,
+            id="answer of another request",
+        ),
+        pytest.param(
+            "HTTP/1.1 421 X\r\nAttempt-Id: r\r\n\r\n", PIECE, id="another upstream"
+        ),
+    ],
+)
+def test_endless_bytes_that_are_no_answer_end_the_call(head, piece):
+    upstream = EndlessUpstream(head, piece)
+    messages = asyncio.run(ask(upstream, has_ended))
+    assert [type(message) for message in messages] == [Refused]
+    assert messages[0].reason is RefusalReason.TRUNCATED
+    assert not messages[0].not_run
+    assert upstream.sent_bytes < READ_LIMIT_BYTES
+
+
+def test_answer_without_length_is_read_no_faster_than_it_is_sent_on():
+    upstream = EndlessUpstream(f"HTTP/1.1 200 OK\r\n{OWN}\r\n", PIECE)
+    seen = []
+
+    def is_paused(messages):
+        seen.append(upstream.sent_bytes)
+        return bool(messages) and len(seen) > POLLS and seen[-1] == seen[-POLLS]
+
+    messages = asyncio.run(ask(upstream, is_paused))
+    assert isinstance(messages[0], ReplyHead)
+    assert messages[0].more
+    assert all(isinstance(message, Body | Refused) for message in messages[1:])
+    assert upstream.sent_bytes < READ_LIMIT_BYTES
