A refusal that an upstream writes once more is not believed

Report: a faulty backend wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that had run (REFUSED), or such a request ran at a second backend (TWICE). Can it happen here: a refusal that names another request was passed over already. But one that names none was believed, and so was a copy that names a request which had come back to the connection that refused it. Change: where answers name their requests, a refusal (503 not run, 421) counts only if it names this one; else the call may have run, and refusal_unnamed is logged. A request doesn't return on a connection on which it was refused.

--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -88,6 +88,9 @@
     def upstream_shed(self, request: RequestId, response: ResponseHead) -> None:
         """Take note that the upstream has refused a request that it had room for."""
 
+    def refusal_unnamed(self, request: RequestId, response: ResponseHead) -> None:
+        """Take note of a refusal that doesn't name its request."""
+
     def upstream_is_another(self) -> None:
         """Admit nothing: another upstream has the address of the one announced."""
 
@@ -206,11 +209,12 @@
 
     def expects(self, response: ResponseHead) -> bool:
         """Return whether an answer is that to this request, not one of an earlier."""
-        dialect = self.gate.dialect
-        if not dialect.echoes:
-            return True
-        named = find_field(response.headers, dialect.request_id)
-        return named is None or named == self.call.request.encode()
+        named = has_field(response.headers, self.gate.dialect.request_id)
+        return not named or self._names_request(response)
+
+    def fits(self, connection: UpstreamConnection) -> bool:
+        """Return whether nothing on a connection can be mistaken for the answer."""
+        return self.call.request not in connection.refused
 
     def head_received(self, response: ResponseHead) -> None:
         """Take the head of the answer; a short answer is sent on whole."""
@@ -220,6 +224,10 @@
         self.gate.admission.replying(self.ticket)
         self.gate.answer_read(response)
         if self._is_refusal(response):
+            if not self._names_request(response):
+                # It may be that of an earlier request, written once more.
+                self.gate.refusal_unnamed(self.call.request, response)
+                self.end_exchange(ExchangeEnd.MALFORMED)
             return
         if not self._is_sound(response):
             self.end_exchange(ExchangeEnd.MALFORMED)
@@ -259,6 +267,8 @@
 
     def body_ended(self) -> None:
         """Tell the entry that the answer is whole."""
+        if self._is_refusal(self._response):
+            self._connection.refused.add(self.call.request)
         self._connection = None
         if self._is_shed(self._response):
             self.gate.upstream_shed(self.call.request, self._response)
@@ -297,6 +307,14 @@
         """Let the entry send more of the request's body."""
         self._return_credit(0)
 
+    def _names_request(self, response: ResponseHead) -> bool:
+        """Return whether an answer names this request, where answers do so."""
+        dialect = self.gate.dialect
+        if not dialect.echoes:
+            return True
+        named = find_field(response.headers, dialect.request_id)
+        return named == self.call.request.encode()
+
     def _is_refusal(self, response: ResponseHead) -> bool:
         """Return whether the upstream says that it doesn't run the request."""
         return self._is_shed(response) or self._is_misdirected(response)
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -300,6 +300,11 @@
             load=(find_field(response.headers, self.dialect.load) or b"").decode(),
         )
 
+    def refusal_unnamed(self, request: RequestId, response: ResponseHead) -> None:
+        """Take note of a refusal that doesn't name its request."""
+        status = response.status_code
+        log_event(log, "refusal_unnamed", request=request, status=status)
+
     def upstream_is_another(self) -> None:
         """Admit nothing: another upstream has the address of the one announced."""
         log_event(log, "upstream_replaced", upstream=self.announcement.upstream)
--- a/cicadawheel/gate/health.py
+++ b/cicadawheel/gate/health.py
@@ -106,6 +106,10 @@
             self._connection = None
         self._asked_at_ms = None
 
+    def fits(self, connection: UpstreamConnection) -> bool:
+        """Return true: the connection is the reader's own."""
+        return True
+
     def expects(self, response: ResponseHead) -> bool:
         """Return true: nothing else is asked on this connection."""
         return True
--- a/cicadawheel/http/upstream.py
+++ b/cicadawheel/http/upstream.py
@@ -17,6 +17,7 @@
     find_field,
     read_response,
 )
+from cicadawheel.ids import RequestId
 from cicadawheel.settings import Address
 from cicadawheel.timer import MS_PER_S
 
@@ -30,6 +31,8 @@
 REPLAY_LIMIT_BYTES = 1_048_576
 # The most of an answer to an earlier request that is passed over.
 SKIPPED_LIMIT_BYTES = 1_048_576
+# Requests whose refusal on a connection is remembered, before it is closed.
+REFUSED_LIMIT = 64
 # Interim heads before an answer; an upstream has a use for one or two.
 INTERIM_LIMIT = 16
 
@@ -49,6 +52,9 @@
     def connected(self, connection: "UpstreamConnection") -> None:
         """A connection is ready; nothing was written to it yet."""
 
+    def fits(self, connection: "UpstreamConnection") -> bool:
+        """Return whether nothing on a connection can be mistaken for the answer."""
+
     def expects(self, response: ResponseHead) -> bool:
         """Return whether an answer is that to this exchange's request."""
 
@@ -82,6 +88,7 @@
         self.owner: ExchangeOwner | None = None
         self.writable = True
         self.wrote_request = False
+        self.refused: set[RequestId] = set()
         self._released = released
         self._http = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
@@ -344,9 +351,9 @@
         Returns the task that connects, to be cancelled when the owner no longer
         wants it, or None.
         """
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_fresh():
+        for connection in reversed(self._idle):
+            if connection.is_fresh() and owner.fits(connection):
+                self._idle.remove(connection)
                 connection.owner = owner
                 connection.wrote_request = False
                 owner.connected(connection)
@@ -385,12 +392,18 @@
         connection.owner = owner
         owner.connected(connection)
 
+    def _is_kept(self, connection: UpstreamConnection) -> bool:
+        """Return whether a connection is worth keeping for further exchanges."""
+        if len(connection.refused) > REFUSED_LIMIT:
+            return False
+        return len(self._open) <= self.limit
+
     def _release(self, connection: UpstreamConnection) -> None:
         if not connection.is_open:
             self._open.discard(connection)
             if connection in self._idle:
                 self._idle.remove(connection)
-        elif self._closing or len(self._open) > self.limit:
+        elif self._closing or not self._is_kept(connection):
             connection.close()
         else:
             self._idle.append(connection)
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -38,8 +38,10 @@
         self.head = head.encode()
         self.piece = piece
         self.sent_bytes = 0
+        self.open = 0
 
     async def serve(self, reader, writer):
+        self.open += 1
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(self.head)
@@ -48,6 +50,9 @@
                 self.sent_bytes += len(self.piece)
                 await writer.drain()
         writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
+        self.open -= 1
 
 
 async def ask(upstream, is_done):
@@ -65,6 +70,7 @@
     await until(lambda: is_done(messages))
     call.refuse(RefusalReason.CANCELLED, not_run=False)
     gate.close()
+    await until(lambda: not upstream.open)
     server.close()
     return messages
 
