--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -237,7 +237,7 @@
         now_ms = self.clock.now_ms()
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
         reserve.seen(plan.priority, now_ms)
-        within = self.gate.repeats.is_within(plan.request, plan.service)
+        within = self.gate.repeats.is_within(plan.request)
         call = EntryCall(self, connection, request, plan, within)
         self.calls.add(call)
         self.idle.clear()
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -189,7 +189,7 @@
             return
         self._connection = connection
         self.state = CallState.SENT
-        self.gate.repeats.sent(self.ticket, self.call, self.kind, self.deadline_at_ms)
+        self.gate.repeats.sent(self.ticket, self.call, self.deadline_at_ms)
         self.gate.guard.upstream_reached()
         if self._request_whole:
             self._note_sent()
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -200,7 +200,7 @@
         refusal = self._reason_to_refuse(call)
         if refusal is None:
             refusal = self.guard.treat(gate_call, now_ms)
-        if refusal is None and not self.repeats.offer(ticket, call, gate_call.kind):
+        if refusal is None and not self.repeats.offer(ticket, call):
             refusal = RefusalReason.RETRY_BUDGET
         if refusal is not None:
             gate_call.refuse(refusal, not_run=True)
--- a/cicadawheel/gate/repeats.py
+++ b/cicadawheel/gate/repeats.py
@@ -24,19 +24,10 @@
 """The part of the budget for sends beside one that still runs; the rest is kept for
 requests that have failed or were refused."""
 
-KINDS_LIMIT = 256
-"""Kinds of requests whose calls are remembered; paths may be of any number."""
-
 SENT = "sent"
 REFUSED = "refused"
 
 CountRepeat = Callable[[ServiceName, Repeat, str], None]
-IsSpent = Callable[[ServiceName], bool]
-
-
-class _Run(msgspec.Struct, frozen=True):
-    kind: str
-    expires_at_ms: float
 
 
 class RepeatedRuns:
@@ -46,34 +37,19 @@
     """
 
     def __init__(self):
-        self._runs: dict[RequestId, _Run] = {}
-        self._services: dict[str, set[ServiceName]] = {}
+        self._expires_at_ms: dict[RequestId, float] = {}
 
-    def began(
-        self, request: RequestId, kind: str, expires_at_ms: float, now_ms: float
-    ) -> None:
+    def began(self, request: RequestId, expires_at_ms: float, now_ms: float) -> None:
         """Take note of a repeat that is sent to the upstream."""
-        runs = self._runs
-        over_at_ms = now_ms - KEPT_MS
-        for known in [one for one in runs if runs[one].expires_at_ms < over_at_ms]:
+        runs = self._expires_at_ms
+        for known in [one for one, at_ms in runs.items() if at_ms + KEPT_MS < now_ms]:
             del runs[known]
-        runs[request] = _Run(kind, expires_at_ms)
-
-    def include(self, request: RequestId, service: ServiceName) -> bool:
-        """Return whether a call to a service is made by one of the runs."""
-        run = self._runs.get(request)
-        if run is None:
-            run = self._runs.get(RequestId(request.rpartition(CALL_MARK)[0]))
-        if run is None:
-            return False
-        if run.kind not in self._services and len(self._services) >= KINDS_LIMIT:
-            self._services.clear()
-        self._services.setdefault(run.kind, set()).add(service)
-        return True
+        runs[request] = expires_at_ms
 
-    def called_by(self, kind: str) -> frozenset[ServiceName]:
-        """Return the services that runs of this kind have called."""
-        return frozenset(self._services.get(kind, ()))
+    def include(self, request: RequestId) -> bool:
+        """Return whether a call is made by one of the runs."""
+        run = request.rpartition(CALL_MARK)[0]
+        return request in self._expires_at_ms or run in self._expires_at_ms
 
 
 class GateRepeats:
@@ -89,7 +65,6 @@
         self.clock = clock
         self.budget: RepeatBudget | None = None
         self.count: CountRepeat = _count_nowhere
-        self.is_spent: IsSpent = _never
         self._runs = RepeatedRuns()
         self._reserved: set[int] = set()
         self._service = ServiceName("")
@@ -104,25 +79,19 @@
         self._service = service
         self.budget.share_with(gates, now_ms)
 
-    def offer(self, ticket: int, call: CallOpen, kind: str) -> bool:
-        """Put by what a request costs, and return whether the budget allows it.
-
-        Runs of a kind that calls services whose budget is spent would fail for that.
-        """
+    def offer(self, ticket: int, call: CallOpen) -> bool:
+        """Put by what a request costs, and return whether the budget allows it."""
         if self.budget is None or call.repeat is Repeat.FIRST:
             return True
         part = SPARE_PART if call.repeat is Repeat.SPARE else 1.0
-        spent = [one for one in self._runs.called_by(kind) if self.is_spent(one)]
-        if not spent and self.budget.reserve(self.clock.now_ms(), part):
+        if self.budget.reserve(self.clock.now_ms(), part):
             self._reserved.add(ticket)
             return True
         self.count(call.service, call.repeat, REFUSED)
-        log_event(log, "repeat_refused", **self._fields(call), calls=",".join(spent))
+        log_event(log, "repeat_refused", **self._fields(call))
         return False
 
-    def sent(
-        self, ticket: int, call: CallOpen, kind: str, expires_at_ms: float
-    ) -> None:
+    def sent(self, ticket: int, call: CallOpen, expires_at_ms: float) -> None:
         """Take note of a request that is sent to the upstream."""
         now_ms = self.clock.now_ms()
         if call.repeat is Repeat.FIRST:
@@ -132,7 +101,7 @@
         if ticket in self._reserved:
             self._reserved.remove(ticket)
             self.budget.spend(now_ms)
-        self._runs.began(call.request, kind, expires_at_ms, now_ms)
+        self._runs.began(call.request, expires_at_ms, now_ms)
         self.count(call.service, call.repeat, SENT)
         log_event(log, "repeat_sent", **self._fields(call))
 
@@ -142,9 +111,9 @@
             self._reserved.remove(ticket)
             self.budget.give_back()
 
-    def is_within(self, request: RequestId, service: ServiceName) -> bool:
+    def is_within(self, request: RequestId) -> bool:
         """Return whether a call of this node's upstream is made within a repeat."""
-        return self._runs.include(request, service)
+        return self._runs.include(request)
 
     def may_repeat(self) -> bool:
         """Return whether the budget has room for one more repeat."""
@@ -169,8 +138,3 @@
 
 def _count_nowhere(service: ServiceName, cause: Repeat, outcome: str) -> None:
     """Stand in while there are no metrics."""
-
-
-def _never(service: ServiceName) -> bool:
-    """Stand in while nothing is known of other services."""
-    return False
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -156,7 +156,6 @@
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
         self.gate.listeners.add(partial(self.entry.observe, self.node))
         self.gate.repeats.count = self.metrics.count_repeat
-        self.gate.repeats.is_spent = self.entry.repeats.is_spent
         if settings.entry.shares_retries:
             self.gate.repeats.budget = RepeatBudget(
                 settings.entry.retry_share,
--- a/test/test_repeat_budget.py
+++ b/test/test_repeat_budget.py
@@ -17,7 +17,6 @@
 SLACK = 56.0
 WINDOW_MS = 10_000.0
 LONG_AGO_MS = 100_000.0
-KIND = "GET dates"
 
 
 class FixedClock:
@@ -101,40 +100,26 @@
 def test_request_that_never_leaves_its_gate_costs_nothing():
     repeats = GateRepeats(FixedClock())
     repeats.budget = make_budget(slack=1.0)
-    assert repeats.offer(1, make_call(Repeat.REFUSED), KIND)
-    assert not repeats.offer(2, make_call(Repeat.FAILED), KIND)
+    assert repeats.offer(1, make_call(Repeat.REFUSED))
+    assert not repeats.offer(2, make_call(Repeat.FAILED))
     assert not repeats.may_repeat()
     repeats.ended(1)
-    assert repeats.offer(3, make_call(Repeat.WITHIN), KIND)
-    repeats.sent(3, make_call(Repeat.WITHIN), KIND, 100.0)
+    assert repeats.offer(3, make_call(Repeat.WITHIN))
+    repeats.sent(3, make_call(Repeat.WITHIN), 100.0)
     repeats.ended(3)
     assert repeats.report().spent == 1
-    assert repeats.offer(4, make_call(Repeat.FIRST), KIND)
+    assert repeats.offer(4, make_call(Repeat.FIRST))
 
 
 def test_calls_of_repeated_runs_are_known_by_their_ids():
     runs = RepeatedRuns()
-    runs.began("4f", KIND, 1_000.0, 0.0)
-    assert runs.include("4f.1", "inner")
-    assert runs.include("4f", "inner")
-    assert not runs.include("4f2", "inner")
-    assert not runs.include("5e.1", "inner")
-    runs.began("5e", KIND, 9_000.0, 8_000.0)
-    assert not runs.include("4f.1", "inner")
-
-
-def test_repeat_whose_calls_nobody_would_pay_for_is_not_begun():
-    repeats = GateRepeats(FixedClock())
-    repeats.budget = make_budget()
-    spent = set()
-    repeats.is_spent = spent.__contains__
-    repeats.sent(1, make_call(Repeat.FAILED, "4f"), KIND, 100.0)
-    assert repeats.is_within("4f.1", "inner")
-    spent.add("inner")
-    assert not repeats.offer(2, make_call(Repeat.FAILED), KIND)
-    assert repeats.offer(3, make_call(Repeat.FAILED), "POST other")
-    spent.clear()
-    assert repeats.offer(4, make_call(Repeat.FAILED), KIND)
+    runs.began("4f", 1_000.0, 0.0)
+    assert runs.include("4f.1")
+    assert runs.include("4f")
+    assert not runs.include("4f2")
+    assert not runs.include("5e.1")
+    runs.began("5e", 9_000.0, 8_000.0)
+    assert not runs.include("4f.1")
 
 
 @pytest.mark.parametrize("seed", range(5))
