A gate that starts again keeps what a cold upstream bears in any second

Cause: the gate forgets at its restart how many requests the cold upstream beside it got in the second before, and admits as many again. Others of the class looked at: shares of releases are kept call by call, probes and connections are bounded by one process's rate and by the upstream's own sockets.

--- a/test/test_told_admission.py
+++ b/test/test_told_admission.py
@@ -1,5 +1,7 @@
 """Admission to an upstream that tells its load."""
 
+import itertools
+
 import pytest
 
 from cicadawheel.announcement import UpstreamLoad
@@ -91,6 +93,23 @@
     assert len(admitted_at_ms) >= 17
 
 
+def test_gates_that_start_again_keep_what_a_cold_upstream_bears_in_any_second():
+    admitted = []
+    starts_ms = (0, 900, 2_100, 2_400, 4_200, 6_000)
+    for started_ms, ends_ms in itertools.pairwise(starts_ms):
+        admission = ToldAdmission(started_ms)
+        admission.upstream_started("2", 100, started_ms, cold_ms=10_000.0)
+        admission.set_cold_limit(6.0)
+        for now_ms in range(started_ms, ends_ms, 10):
+            offered = admission.offer(now_ms, FAR_MS, float(now_ms))
+            if offered.verdict is Verdict.ADMIT:
+                admitted.append(now_ms)
+            admitted += [now_ms for _ in admission.tick(float(now_ms))]
+    assert admitted
+    for since_ms in admitted:
+        assert sum(since_ms <= at < since_ms + 1_000 for at in admitted) <= 6
+
+
 def test_upstream_that_says_it_is_warm_gets_its_slots(admission):
     admission.upstream_started("2", SLOTS, 0.0, cold_ms=3_000.0)
     admission.set_cold_limit(1.0)
