Upstreams of sites in a loop go on announcing themselves

Cause: the upstreams of a site in a loop announced themselves once. A node gives an upstream up that is silent for 3.5 s, as docs/upstreams.md says, so that on a busy machine all gates were closed ('leaving') before a test was through. Change: the site announces its upstreams every half of what they promise. A gate that a test closed by hand would open again with that; the test now has its admission refuse. What is checked stays as it was.

--- a/test/conftest.py
+++ b/test/conftest.py
@@ -12,9 +12,9 @@
 def on_site(tmp_path):
     """Return a function that runs a coroutine function on a started site."""
 
-    def run(work, node_count=2):
+    def run(work, node_count=2, slots=4):
         async def main():
-            site = Site(tmp_path, node_count)
+            site = Site(tmp_path, node_count, slots)
             await site.start()
             try:
                 await work(site)
--- a/test/site_in_loop.py
+++ b/test/site_in_loop.py
@@ -16,10 +16,12 @@
 )
 from cicadawheel.control.command import ApplyConfiguration
 from cicadawheel.control.daemon import ControlDaemon
+from cicadawheel.errors import CicadawheelError
 from cicadawheel.http.exchange import fetch
+from cicadawheel.node.admin import ANNOUNCE_REPEAT_MS
 from cicadawheel.node.daemon import Node
 from cicadawheel.settings import Address, load_settings
-from cicadawheel.timer import make_timer_service
+from cicadawheel.timer import MS_PER_S, make_timer_service
 
 KEY = "0123456789abcdef"
 CONDITION_TIMEOUT_S = 10.0
@@ -102,7 +104,7 @@
 class Upstream:
     """Answers with its name; some targets make it crash, reset or wait."""
 
-    def __init__(self, name, slots=4):
+    def __init__(self, name, slots):
         self.name = name
         self.slots = slots
         self.boots = 0
@@ -167,12 +169,15 @@
 class Site:
     """One control replica and some nodes, each with an upstream."""
 
-    def __init__(self, tmp_path, node_count):
+    def __init__(self, tmp_path, node_count, slots):
         self.tmp_path = tmp_path
+        self.slots = slots
         self.names = [f"n{number}" for number in range(1, node_count + 1)]
         self.nodes = []
         self.upstreams = []
         self.tasks = []
+        self.announcing = []
+        self.left = []
         self.stops = []
 
     def settings(self, name, text):
@@ -214,7 +219,7 @@
         node = Node(settings, make_timer_service())
         self.nodes.append(node)
         self.run(node)
-        upstream = Upstream(f"u-{name}")
+        upstream = Upstream(f"u-{name}", self.slots)
         self.upstreams.append(upstream)
         await until_answers(node.settings.node.admin_address)
         await self.start_upstream(upstream)
@@ -224,11 +229,21 @@
         await upstream.start()
         boot = f"boot-{upstream.boots}"
         port = upstream.address.port
-        await self.tell(
-            upstream,
-            ANNOUNCE_PATH,
-            Announcement(upstream.name, boot, "shop", "v1", port, upstream.slots, 20),
+        announcement = Announcement(
+            upstream.name, boot, "shop", "v1", port, upstream.slots, 20
         )
+        await self.tell(upstream, ANNOUNCE_PATH, announcement)
+        again = self.announce_again(upstream, upstream.server, announcement)
+        self.announcing.append(asyncio.ensure_future(again))
+
+    async def announce_again(self, upstream, server, announcement):
+        """Keep the promise of an upstream, without which its node gives it up."""
+        while True:
+            await asyncio.sleep(ANNOUNCE_REPEAT_MS / MS_PER_S / 2)
+            if not server.is_serving() or upstream in self.left:
+                return
+            with contextlib.suppress(CicadawheelError):
+                await self.tell(upstream, ANNOUNCE_PATH, announcement)
 
     async def warm_up(self):
         """Send calls until every gate gives its upstream the whole limit.
@@ -250,6 +265,7 @@
 
     async def leave(self, upstream):
         """Have an upstream tell its node that it takes no new work."""
+        self.left.append(upstream)
         leave = Leave(upstream.name, f"boot-{upstream.boots}")
         await self.tell(upstream, LEAVE_PATH, leave)
 
@@ -277,6 +293,8 @@
         )
 
     async def close(self):
+        for announcing in self.announcing:
+            announcing.cancel()
         for stop in self.stops:
             stop.set()
         await asyncio.gather(*self.tasks)
--- a/test/test_entry_calls.py
+++ b/test/test_entry_calls.py
@@ -5,6 +5,7 @@
 from site_in_loop import call, until
 
 from cicadawheel.entry.peers import PeerLink
+from cicadawheel.gate.decision import Decision, Verdict
 from cicadawheel.messages import Body, RefusalReason
 from cicadawheel.node.daemon import LEAVE_NOTICE_MS
 from cicadawheel.timer import MS_PER_S
@@ -316,17 +317,21 @@
         sent.append(message)
         usual(link, message)
 
+    def refuse(ticket, *rest):
+        return Decision(ticket, Verdict.REFUSE, RefusalReason.OVERLOAD)
+
     async def work(site):
         await site.warm_up()
         far = site.nodes[1]
         body = b"x" * 60_000
         site.nodes[0].gate.drain()
-        far.gate.admission.close(RefusalReason.OVERLOAD)
+        monkeypatch.setattr(far.gate.admission, "offer", refuse)
         monkeypatch.setattr(PeerLink, "send", send)
         refused = await call(site.nodes[0], "POST", "/any", body)
         assert refused.status == 503
         assert not any(isinstance(message, Body) for message in sent)
-        far.gate.admission.open(0.0)
+        monkeypatch.undo()
+        monkeypatch.setattr(PeerLink, "send", send)
         answer = await call(site.nodes[0], "POST", "/any", body)
         assert (answer.status, len(answer.body)) == (200, len(body) + 5)
         pieces = [message for message in sent if isinstance(message, Body)]
