--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -6,6 +6,14 @@
 
 from cicadawheel.announcement import Announcement
 from cicadawheel.gate.admission import Admission
+from cicadawheel.gate.answer_checks import (
+    is_misdirected,
+    is_of_another,
+    is_refusal,
+    is_shed,
+    is_sound,
+    names_request,
+)
 from cicadawheel.gate.decision import Result
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.repeats import GateRepeats
@@ -14,7 +22,6 @@
 from cicadawheel.http.fields import (
     ResponseHead,
     content_length,
-    find_field,
     has_field,
     keep_end_to_end,
 )
@@ -39,8 +46,6 @@
 WHOLE_REPLY_LIMIT_BYTES = 65_536
 HELD_REPLY_LIMIT_BYTES = 1_048_576
 """The most that is held of an answer without a length until it is known to be whole."""
-FIRST_FAILURE_STATUS = 400
-MISDIRECTED_STATUS = 421
 
 
 class CallState(Enum):
@@ -209,8 +214,7 @@
 
     def expects(self, response: ResponseHead) -> bool:
         """Return whether an answer is that to this request, not one of an earlier."""
-        named = has_field(response.headers, self.gate.dialect.request_id)
-        return not named or self._names_request(response)
+        return not is_of_another(response, self.call.request, self.gate.dialect)
 
     def fits(self, connection: UpstreamConnection) -> bool:
         """Return whether nothing on a connection can be mistaken for the answer."""
@@ -223,19 +227,20 @@
             self._service_time_ms = self.gate.clock.now_ms() - self._sent_at_ms
         self.gate.admission.replying(self.ticket)
         self.gate.answer_read(response)
-        if self._is_refusal(response):
-            if not self._names_request(response):
+        dialect = self.gate.dialect
+        if is_refusal(response, dialect):
+            if not names_request(response, self.call.request, dialect):
                 # It may be that of an earlier request, written once more.
                 self.gate.refusal_unnamed(self.call.request, response)
                 self.end_exchange(ExchangeEnd.MALFORMED)
             return
-        if not self._is_sound(response):
+        if not is_sound(response, dialect):
             self.end_exchange(ExchangeEnd.MALFORMED)
             return
         length = content_length(response.headers)
         chunked = has_field(response.headers, b"transfer-encoding")
         unframed = length is None and not chunked
-        if unframed and self.gate.dialect.seal:
+        if unframed and dialect.seal:
             # Its end may be a loss: it is sent on once it is known to be whole.
             return
         if length is None or length > WHOLE_REPLY_LIMIT_BYTES:
@@ -254,7 +259,7 @@
     def _hold(self, data: bytes) -> None:
         """Keep what can't be sent on yet, within bounds."""
         self._reply_held_bytes += len(data)
-        if self._is_refusal(self._response):
+        if is_refusal(self._response, self.gate.dialect):
             if self._reply_held_bytes > WHOLE_REPLY_LIMIT_BYTES:
                 self.end_exchange(ExchangeEnd.MALFORMED)
             return
@@ -267,14 +272,14 @@
 
     def body_ended(self) -> None:
         """Tell the entry that the answer is whole."""
-        if self._is_refusal(self._response):
+        if is_refusal(self._response, self.gate.dialect):
             self._connection.refused.add(self.call.request)
         self._connection = None
-        if self._is_shed(self._response):
+        if is_shed(self._response, self.gate.dialect):
             self.gate.upstream_shed(self.call.request, self._response)
             self._refuse_reached(RefusalReason.OVERLOAD, Result.SHED)
             return
-        if self._is_misdirected(self._response):
+        if is_misdirected(self._response, self.gate.dialect):
             self.gate.upstream_is_another()
             self._refuse_reached(RefusalReason.NO_UPSTREAM, Result.FAILED)
             return
@@ -307,40 +312,6 @@
         """Let the entry send more of the request's body."""
         self._return_credit(0)
 
-    def _names_request(self, response: ResponseHead) -> bool:
-        """Return whether an answer names this request, where answers do so."""
-        dialect = self.gate.dialect
-        if not dialect.echoes:
-            return True
-        named = find_field(response.headers, dialect.request_id)
-        return named == self.call.request.encode()
-
-    def _is_refusal(self, response: ResponseHead) -> bool:
-        """Return whether the upstream says that it doesn't run the request."""
-        return self._is_shed(response) or self._is_misdirected(response)
-
-    def _is_shed(self, response: ResponseHead) -> bool:
-        if response.status_code < FIRST_FAILURE_STATUS:
-            return False
-        return find_field(response.headers, self.gate.dialect.not_run) == b"1"
-
-    def _is_misdirected(self, response: ResponseHead) -> bool:
-        """Return whether another upstream has the address now."""
-        misdirected = response.status_code == MISDIRECTED_STATUS
-        return misdirected and bool(self.gate.dialect.expected_upstream)
-
-    def _is_sound(self, response: ResponseHead) -> bool:
-        """Return whether the upstream has made this answer, and nothing else."""
-        dialect = self.gate.dialect
-        if not dialect.seal:
-            return True
-        if has_field(response.headers, b"content-encoding"):
-            return False
-        if response.status_code >= FIRST_FAILURE_STATUS:
-            return True
-        own = has_field(response.headers, dialect.request_id)
-        return own and has_field(response.headers, dialect.seal)
-
     def _send_head(self, body: bytes, more: bool) -> None:
         self._head_sent = True
         if self.state is not CallState.ENDED:
