A health answer without end is cut off

A gate read what its upstream sent at the health path for as long as it came: each 500 ms the connection was ended, and the next question began the same (64 MiB in a second). Change: after 64 KiB the connection ends, and the next question has a new one. A report of an upstream's own load is bounded by 64 KiB in place of 8 MiB. Evidence: test_health_without_end_... fails before and passes now.

--- a/cicadawheel/gate/health.py
+++ b/cicadawheel/gate/health.py
@@ -19,6 +19,9 @@
 ANSWER_TIMEOUT_MS = 500.0
 """Health is answered beside the work, within a millisecond where nothing is wrong."""
 
+BODY_LIMIT_BYTES = 65_536
+"""All that health says is in the head of its answer."""
+
 OK_STATUS = 200
 
 
@@ -77,6 +80,7 @@
         self._connection: UpstreamConnection | None = None
         self._connecting: asyncio.Task | None = None
         self._asked_at_ms: float | None = None
+        self._body_bytes = 0
 
     def ask(self, address: Address, path: str, now_ms: float) -> None:
         """Send the next question, if the last one is answered."""
@@ -122,7 +126,10 @@
         self.on_report(read_health(response, self.dialect))
 
     def body_received(self, data: bytes) -> None:
-        """Drop the body."""
+        """Drop the body, and the connection of one that doesn't end."""
+        self._body_bytes += len(data)
+        if self._body_bytes > BODY_LIMIT_BYTES:
+            self.close()
 
     def body_ended(self) -> None:
         """Be ready for the next question."""
@@ -155,5 +162,6 @@
 
     def _send(self, connection: UpstreamConnection) -> None:
         connection.owner = self
+        self._body_bytes = 0
         fields = [(b"host", str(self._address).encode())]
         connection.send_request("GET", self._path, fields, b"", more=False)
--- a/cicadawheel/gate/reports.py
+++ b/cicadawheel/gate/reports.py
@@ -17,6 +17,8 @@
 FAILURES_TO_DOUBT = 2
 TRUST_PAUSE_FACTOR = 10.0
 FETCH_TIMEOUT_MS = 500.0
+# Far more than a report has.
+BODY_LIMIT_BYTES = 65_536
 OK_STATUS = 200
 
 
@@ -95,20 +97,27 @@
 
     async def _read(self, upstream: Announcement, now_ms: float, on_doubt) -> None:
         if next(self._turn) % 2:
-            answer = await _get(upstream, upstream.health_path)
+            answer = await get_report(upstream, upstream.health_path)
             healthy = answer is not None and answer.status == OK_STATUS
             cause = self.watch.health_read(healthy, now_ms)
         else:
-            load = _decode(await _get(upstream, upstream.load_path))
+            load = _decode(await get_report(upstream, upstream.load_path))
             cause = self.watch.load_read(load, now_ms) if load is not None else ""
         if cause:
             on_doubt(cause)
 
 
-async def _get(upstream: Announcement, path: str) -> HttpAnswer | None:
+async def get_report(upstream: Announcement, path: str) -> HttpAnswer | None:
+    """Return what an upstream answers at a path, None without a whole answer."""
     address = Address(upstream.host, upstream.port)
     try:
-        return await fetch(address, "GET", path, timeout_ms=FETCH_TIMEOUT_MS)
+        return await fetch(
+            address,
+            "GET",
+            path,
+            timeout_ms=FETCH_TIMEOUT_MS,
+            body_limit_bytes=BODY_LIMIT_BYTES,
+        )
     except CicadawheelError:
         return None
 
--- a/cicadawheel/http/exchange.py
+++ b/cicadawheel/http/exchange.py
@@ -68,6 +68,7 @@
     body: bytes = b"",
     headers: dict[str, str] | None = None,
     timeout_ms: float = 5_000.0,
+    body_limit_bytes: int = BODY_LIMIT_BYTES,
 ) -> HttpAnswer:
     """Send one request on a connection of its own and return the whole answer.
 
@@ -81,7 +82,8 @@
     """
     try:
         async with asyncio.timeout(timeout_ms / MS_PER_S):
-            return await _fetch(address, method, target, body, headers or {})
+            sent = (method, target, body, headers or {})
+            return await _fetch(address, *sent, body_limit_bytes)
     except (OSError, TimeoutError) as error:
         reason = str(error) or f"no answer within {timeout_ms:.0f} ms"
         raise ConnectionLostError(reason, step="fetch", peer=str(address)) from error
@@ -89,7 +91,9 @@
         raise ProtocolError(str(error), step="fetch", peer=str(address)) from error
 
 
-async def _fetch(address, method, target, body, headers) -> HttpAnswer:
+async def _fetch(
+    address, method, target, body, headers, body_limit_bytes
+) -> HttpAnswer:
     reader, writer = await asyncio.open_connection(address.host, address.port)
     try:
         connection = h11.Connection(h11.CLIENT)
@@ -101,7 +105,7 @@
         data += connection.send(h11.Data(data=body)) if body else b""
         writer.write(data + connection.send(END_OF_MESSAGE))
         await writer.drain()
-        head, content = await _read_message(connection, reader)
+        head, content = await _read_message(connection, reader, body_limit_bytes)
     except h11.RemoteProtocolError as error:
         if not _is_closed(connection):
             raise
@@ -128,7 +132,7 @@
         connection.receive_data(await reader.read(READ_SIZE_BYTES))
 
 
-async def _read_message(connection, reader):
+async def _read_message(connection, reader, body_limit_bytes=BODY_LIMIT_BYTES):
     head = await _next_event(connection, reader)
     while isinstance(head, h11.InformationalResponse):
         head = await _next_event(connection, reader)
@@ -140,7 +144,7 @@
         if isinstance(event, h11.EndOfMessage):
             return head, bytes(content)
         content += event.data
-        if len(content) > BODY_LIMIT_BYTES:
+        if len(content) > body_limit_bytes:
             raise h11.RemoteProtocolError("body is too long", 413)
 
 
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -9,6 +9,8 @@
 from cicadawheel.announcement import Announcement
 from cicadawheel.configuration import Configuration, ServiceRule
 from cicadawheel.gate.gate import Gate
+from cicadawheel.gate.health import HealthReader
+from cicadawheel.gate.reports import get_report
 from cicadawheel.messages import (
     Body,
     CallOpen,
@@ -18,7 +20,7 @@
     ReplyHead,
 )
 from cicadawheel.platform.headers import PLATFORM_DIALECT
-from cicadawheel.settings import GateSettings
+from cicadawheel.settings import Address, GateSettings
 from cicadawheel.timer import make_timer_service
 
 DEADLINE_MS = 5_000.0
@@ -115,6 +117,40 @@
     assert upstream.sent_bytes < READ_LIMIT_BYTES
 
 
+def test_health_without_end_is_cut_off_and_asked_anew():
+    upstream = EndlessUpstream("HTTP/1.1 200 OK\r\nBackend-Load: 1,0,4\r\n\r\n", PIECE)
+    reports = []
+
+    async def ask_twice():
+        server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname())
+        reader = HealthReader(PLATFORM_DIALECT, reports.append)
+        for count in (1, 2):
+            reader.ask(address, "/health", 0.0)
+            await until(lambda count=count: len(reports) == count)
+            await until(lambda: not upstream.open)
+        server.close()
+
+    asyncio.run(ask_twice())
+    assert [report.load.in_flight for report in reports] == [1, 1]
+    assert upstream.sent_bytes < READ_LIMIT_BYTES
+
+
+def test_report_without_end_is_no_report():
+    upstream = EndlessUpstream("HTTP/1.1 200 OK\r\n\r\n", PIECE)
+
+    async def read():
+        server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        announcement = Announcement("u", "1", "s", "v1", port, 4, 20, host)
+        assert await get_report(announcement, "/load") is None
+        await until(lambda: not upstream.open)
+        server.close()
+
+    asyncio.run(read())
+    assert upstream.sent_bytes < READ_LIMIT_BYTES
+
+
 def test_answer_without_length_is_read_no_faster_than_it_is_sent_on():
     upstream = EndlessUpstream(f"HTTP/1.1 200 OK\r\n{OWN}\r\n", PIECE)
     seen = []
