--- a/test/site_in_loop.py
+++ b/test/site_in_loop.py
@@ -176,8 +176,7 @@
         self.nodes = []
         self.upstreams = []
         self.tasks = []
-        self.announcing = []
-        self.left = []
+        self.announcing = {}
         self.stops = []
 
     def settings(self, name, text):
@@ -234,17 +233,21 @@
         )
         await self.tell(upstream, ANNOUNCE_PATH, announcement)
         again = self.announce_again(upstream, upstream.server, announcement)
-        self.announcing.append(asyncio.ensure_future(again))
+        self.announcing[upstream.name] = asyncio.ensure_future(again)
 
     async def announce_again(self, upstream, server, announcement):
         """Keep the promise of an upstream, without which its node gives it up."""
         while True:
             await asyncio.sleep(ANNOUNCE_REPEAT_MS / MS_PER_S / 2)
-            if not server.is_serving() or upstream in self.left:
+            if not server.is_serving():
                 return
             with contextlib.suppress(CicadawheelError):
                 await self.tell(upstream, ANNOUNCE_PATH, announcement)
 
+    def fall_silent(self, upstream):
+        """Have an upstream announce itself no more."""
+        self.announcing[upstream.name].cancel()
+
     async def warm_up(self):
         """Send calls until every gate gives its upstream the whole limit.
 
@@ -265,7 +268,7 @@
 
     async def leave(self, upstream):
         """Have an upstream tell its node that it takes no new work."""
-        self.left.append(upstream)
+        self.fall_silent(upstream)
         leave = Leave(upstream.name, f"boot-{upstream.boots}")
         await self.tell(upstream, LEAVE_PATH, leave)
 
@@ -293,7 +296,7 @@
         )
 
     async def close(self):
-        for announcing in self.announcing:
+        for announcing in self.announcing.values():
             announcing.cancel()
         for stop in self.stops:
             stop.set()
