--- /dev/null
+++ b/test/lone_gate.py
@@ -0,0 +1,38 @@
+"""A gate on the platform, before an upstream that a test plays on a socket."""
+
+import asyncio
+import contextlib
+
+from site_in_loop import until
+
+from cicadawheel.announcement import Announcement
+from cicadawheel.configuration import Configuration, ServiceRule
+from cicadawheel.gate.gate import Gate
+from cicadawheel.messages import CallOpen, Header
+from cicadawheel.platform.headers import PLATFORM_DIALECT
+from cicadawheel.settings import GateSettings
+from cicadawheel.timer import make_timer_service
+
+DEADLINE_MS = 5_000.0
+
+
+@contextlib.asynccontextmanager
+async def gate_before(upstream):
+    """Yield the gate of an upstream that serves connections and counts the open."""
+    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    settings = GateSettings(limit="told")
+    gate = Gate(settings, "dc", make_timer_service(), "n1", PLATFORM_DIALECT)
+    gate.configure(Configuration(1, services={"s": ServiceRule("s", DEADLINE_MS)}))
+    gate.announce(Announcement("u", "1", "s", "v1", port, 4, 20, host))
+    yield gate
+    gate.close()
+    await until(lambda: not upstream.open)
+    server.close()
+
+
+def make_call(request, repeatable=False):
+    """Return a call as an entry hands it over."""
+    headers = (Header(b"host", b"s"), Header(b"attempt-id", request.encode()))
+    rest = (headers, b"", False, DEADLINE_MS, 0, repeatable, "f")
+    return CallOpen(1, request, "s", "", "GET", "/x", *rest)
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -4,26 +4,21 @@
 import contextlib
 
 import pytest
+from lone_gate import gate_before, make_call
 from site_in_loop import until
 
 from cicadawheel.announcement import Announcement
-from cicadawheel.configuration import Configuration, ServiceRule
-from cicadawheel.gate.gate import Gate
 from cicadawheel.gate.health import HealthReader
 from cicadawheel.gate.reports import get_report
 from cicadawheel.messages import (
     Body,
-    CallOpen,
-    Header,
     RefusalReason,
     Refused,
     ReplyHead,
 )
 from cicadawheel.platform.headers import PLATFORM_DIALECT
-from cicadawheel.settings import Address, GateSettings
-from cicadawheel.timer import make_timer_service
+from cicadawheel.settings import Address
 
-DEADLINE_MS = 5_000.0
 POLLS = 10
 READ_LIMIT_BYTES = 16 * 1_048_576
 """What sockets and buffers hold, far below what a second of sending brings."""
@@ -59,21 +54,11 @@
 
 async def ask(upstream, is_done):
     """Return the messages that a call at the gate brings until it is done."""
-    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    settings = GateSettings(limit="told")
-    gate = Gate(settings, "dc", make_timer_service(), "n1", PLATFORM_DIALECT)
-    gate.configure(Configuration(1, services={"s": ServiceRule("s", DEADLINE_MS)}))
-    gate.announce(Announcement("u", "1", "s", "v1", port, 4, 20, host))
-    headers = (Header(b"host", b"s"),)
-    fields = ("s", "", "GET", "/x", headers, b"", False, DEADLINE_MS, 0, True, "f")
     messages = []
-    call = gate.open(CallOpen(1, "r", *fields), messages.append)
-    await until(lambda: is_done(messages))
-    call.refuse(RefusalReason.CANCELLED, not_run=False)
-    gate.close()
-    await until(lambda: not upstream.open)
-    server.close()
+    async with gate_before(upstream) as gate:
+        call = gate.open(make_call("r", repeatable=True), messages.append)
+        await until(lambda: is_done(messages))
+        call.refuse(RefusalReason.CANCELLED, not_run=False)
     return messages
 
 
--- a/test/test_refused_twice.py
+++ b/test/test_refused_twice.py
@@ -2,17 +2,11 @@
 
 import asyncio
 
+from lone_gate import gate_before, make_call
 from site_in_loop import until
 
-from cicadawheel.announcement import Announcement
-from cicadawheel.configuration import Configuration, ServiceRule
-from cicadawheel.gate.gate import Gate
-from cicadawheel.messages import CallOpen, Header, RefusalReason, Refused, ReplyHead
-from cicadawheel.platform.headers import PLATFORM_DIALECT
-from cicadawheel.settings import GateSettings
-from cicadawheel.timer import make_timer_service
+from cicadawheel.messages import RefusalReason, Refused, ReplyHead
 
-DEADLINE_MS = 5_000.0
 REFUSAL = "HTTP/1.1 503 X\r\n{id}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 ANSWER = "HTTP/1.1 200 X\r\n{id}Server-Seal: s\r\nContent-Length: 2\r\n\r\nok"
 
@@ -44,23 +38,13 @@
 
 
 async def _ask(upstream, requests):
-    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    settings = GateSettings(limit="told")
-    gate = Gate(settings, "dc", make_timer_service(), "n1", PLATFORM_DIALECT)
-    gate.configure(Configuration(1, services={"s": ServiceRule("s", DEADLINE_MS)}))
-    gate.announce(Announcement("u", "1", "s", "v1", port, 4, 20, host))
     ends = []
-    for request in requests:
-        messages = []
-        headers = (Header(b"host", b"s"), Header(b"attempt-id", request.encode()))
-        fields = ("s", "", "GET", "/x", headers, b"", False, DEADLINE_MS, 0, False, "f")
-        gate.open(CallOpen(1, request, *fields), messages.append)
-        await until(lambda messages=messages: messages)
-        ends.append(messages[-1])
-    gate.close()
-    await until(lambda: not upstream.open)
-    server.close()
+    async with gate_before(upstream) as gate:
+        for request in requests:
+            messages = []
+            gate.open(make_call(request), messages.append)
+            await until(lambda messages=messages: messages)
+            ends.append(messages[-1])
     return ends
 
 
