--- a/cicadawheel/entry/retry.py
+++ b/cicadawheel/entry/retry.py
@@ -53,9 +53,6 @@
     def __init__(self):
         self._accounts: dict[ServiceName, _Account] = {}
 
-    def call_began(self, service: ServiceName, now_ms: float) -> None:
-        """Do nothing: the budget is a share of what succeeds."""
-
     def call_ended(self, service: ServiceName, share: float, now_ms: float) -> None:
         """Add what one more successful call allows."""
         account = self._account(service, now_ms)
