--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -87,7 +87,7 @@
         self.clock: Clock = timers.clock
         self.configuration = Configuration()
         self.announcement: Announcement | None = None
-        self.admission = make_admission(settings, self.clock.now_ms())
+        self.admission = make_admission(settings)
         self.listeners: set[Callable[[LoadReport], None]] = set()
         self._news = LoadNews()
         self._health: HealthReader | None = None
@@ -413,6 +413,6 @@
                 call.refuse(decision.reason, not_run=True)
 
 
-def make_admission(settings: GateSettings, now_ms: float) -> Admission | ToldAdmission:
-    """Return the admission that the settings name, for a gate that starts now."""
-    return ToldAdmission(now_ms) if settings.limit == TOLD else Admission(settings)
+def make_admission(settings: GateSettings) -> Admission | ToldAdmission:
+    """Return the admission that the settings name."""
+    return ToldAdmission() if settings.limit == TOLD else Admission(settings)
--- a/cicadawheel/gate/told.py
+++ b/cicadawheel/gate/told.py
@@ -9,7 +9,6 @@
 A plain object: it is told what happens and when, and answers with decisions.
 """
 
-import math
 from collections import deque
 
 import msgspec
@@ -69,17 +68,9 @@
 
 
 class ToldAdmission:
-    """Admits what an upstream that tells its load can bear.
+    """Admits what an upstream that tells its load can bear."""
 
-    Parameters
-    ----------
-    started_at_ms : float
-        When the gate starts. Its process before may have admitted what a cold
-        upstream bears in the second that ended then.
-    """
-
-    def __init__(self, started_at_ms: float = -math.inf):
-        self.started_at_ms = started_at_ms
+    def __init__(self):
         self.boot = BootId("")
         self.slots = 0
         self.leaving = False
@@ -341,8 +332,6 @@
         )
 
     def _bears_one_more(self, now_ms: float) -> bool:
-        if now_ms < self.started_at_ms + COLD_WINDOW_MS:
-            return False
         admitted = self._cold_admitted
         while admitted and admitted[0] <= now_ms - COLD_WINDOW_MS:
             admitted.popleft()
