Input faults: Connection fields, long log lines, durations, bounds, no addresses

Excluded: StorageFullError as final is right, its storage can't be used again; run_control opens it anew. Its docstring says so now.

--- a/cicadawheel/errors.py
+++ b/cicadawheel/errors.py
@@ -69,7 +69,10 @@
 
 
 class StorageFullError(StorageError):
-    """The disk of the data folder is full; a later attempt may succeed."""
+    """The disk of the data folder is full.
+
+    The storage can't be used again; `run_control` opens it anew until there is space.
+    """
 
 
 class ReplicaRemovedError(StorageError):
--- a/cicadawheel/http/fields.py
+++ b/cicadawheel/http/fields.py
@@ -72,12 +72,13 @@
 
     Leaves out hop-by-hop fields, those that ``Connection`` lists, and ``replaced``.
     """
-    connection_value = find_field(headers, b"connection")
-    excluded = HOP_BY_HOP_FIELDS | replaced
-    if connection_value is not None:
-        excluded = excluded | {
-            item.strip().lower() for item in connection_value.split(b",")
-        }
+    listed = {
+        item.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for item in value.split(b",")
+    }
+    excluded = HOP_BY_HOP_FIELDS | replaced | listed
     return tuple(Header(name, value) for name, value in headers if name not in excluded)
 
 
--- a/cicadawheel/logs.py
+++ b/cicadawheel/logs.py
@@ -139,9 +139,12 @@
             self._dropped = 0
 
     def _write(self, line: str) -> bool:
-        data = line.encode()[:LINE_LIMIT_BYTES] + b"\n"
+        data = line.encode()
+        if len(data) > LINE_LIMIT_BYTES:
+            # Drops a character that the limit would split.
+            data = data[:LINE_LIMIT_BYTES].decode(errors="ignore").encode()
         try:
-            os.write(self.descriptor, data)
+            os.write(self.descriptor, data + b"\n")
         except OSError:
             # A full pipe or a closed reader must not block or fail the process.
             return False
--- a/cicadawheel/node/link.py
+++ b/cicadawheel/node/link.py
@@ -104,6 +104,10 @@
 
     async def run(self) -> None:
         """Connect to one replica after the other, until cancelled."""
+        while not self.addresses:
+            # A reload of the settings may bring addresses.
+            log_event(log, "control_lost", peer="", reason="no control_addresses")
+            await asyncio.sleep(STALE_REPLICA_MS / MS_PER_S)
         while True:
             address = self.addresses[next(self._address_index) % len(self.addresses)]
             try:
@@ -202,8 +206,11 @@
             )
 
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
-        """Replace the seed addresses, and keep the replicas learned from control."""
-        if seeds != self.seeds:
+        """Replace the seed addresses, and keep the replicas learned from control.
+
+        Settings without addresses don't replace any.
+        """
+        if seeds and seeds != self.seeds:
             known = tuple(
                 address for address in self.addresses if address not in self.seeds
             )
--- a/cicadawheel/platform/settings.py
+++ b/cicadawheel/platform/settings.py
@@ -5,6 +5,7 @@
 """
 
 import configparser
+import math
 from pathlib import Path
 
 from cicadawheel.errors import SettingsError
@@ -34,7 +35,12 @@
             f"{path}: can't be read: {text}", step="settings"
         ) from error
     if parser.has_section(BOUNDS_SECTION):
-        _translate_bounds(parser)
+        try:
+            _translate_bounds(parser)
+        except ValueError as error:
+            raise SettingsError(
+                f"{path}: [{BOUNDS_SECTION}]: {error}", step="settings"
+            ) from error
         parser.remove_section(BOUNDS_SECTION)
     return load_settings_text(path, parser)
 
@@ -46,6 +52,8 @@
     def set_value(section: str, key: str, value: float) -> None:
         if not parser.has_section(section):
             parser.add_section(section)
+        if not math.isfinite(value):
+            raise ValueError(f"{key} can't be {value}")
         parser.set(section, key, f"{value:g}")
 
     if "grace_s" in bounds:
--- a/cicadawheel/ui/parsing.py
+++ b/cicadawheel/ui/parsing.py
@@ -9,6 +9,9 @@
 DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s|m|h)$")
 UNIT_MS = {"ms": 1, "s": 1_000, "m": 60_000, "h": 3_600_000}
 
+MAX_DURATION_MS = 10 * 366 * 24 * UNIT_MS["h"]
+"""Ten years; deadlines much further away can't be written as a date."""
+
 
 class InputError(UserError):
     """An invalid value on the command line."""
@@ -20,7 +23,7 @@
     Raises
     ------
     InputError
-        The text isn't a duration above 0.
+        The text isn't a duration above 0, or it is longer than ten years.
     """
     match = DURATION.match(text or "")
     duration_ms = float(match[1]) * UNIT_MS[match[2]] if match else 0.0
@@ -29,6 +32,8 @@
             f"{name} {text}: give a number above 0 with its unit ms, s, m or h, "
             "such as 30m"
         )
+    if duration_ms > MAX_DURATION_MS:
+        raise InputError(f"{name} {text}: give at most ten years")
     return duration_ms
 
 
@@ -41,7 +46,10 @@
         The text is neither a time nor a duration.
     """
     if TIME.match(text or ""):
-        return parse_time_ms(text)
+        try:
+            return parse_time_ms(text)
+        except ValueError as error:
+            raise InputError(f"{name} {text}: {error}") from None
     return round(now_ms + parse_duration_ms(name, text))
 
 
--- a/test/test_bounded_logs.py
+++ b/test/test_bounded_logs.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cicadawheel.logs import (
+    LINE_LIMIT_BYTES,
     LINES_BURST,
     LINES_PER_S,
     BoundedHandler,
@@ -106,3 +107,12 @@
     assert bucket.take(0.0)
     assert not bucket.take(0.01)
     assert bucket.take(0.01 + 1.0 / LINES_PER_S)
+
+
+def test_long_line_is_cut_between_characters(pipe):
+    reader, writer = pipe
+    handler = make_handler(writer, Clock())
+    handler.emit(make_record("x", reason="\N{EURO SIGN}" * LINE_LIMIT_BYTES))
+    data = os.read(reader, 1 << 20)
+    assert len(data) <= LINE_LIMIT_BYTES + 1
+    assert data.decode().endswith("\N{EURO SIGN}\n")
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -6,6 +6,8 @@
 
 from cicadawheel.errors import ConnectionLostError, ProtocolError
 from cicadawheel.http.exchange import HttpAnswer, fetch, serve_http, text_answer
+from cicadawheel.http.fields import end_to_end_headers
+from cicadawheel.messages import Header
 from cicadawheel.settings import Address
 
 
@@ -100,3 +102,14 @@
 
 def test_text_answer_has_plain_text_content_type():
     assert text_answer("x").content_type.startswith("text/plain")
+
+
+def test_fields_that_any_connection_field_lists_are_not_forwarded():
+    headers = [
+        (b"connection", b"keep-alive"),
+        (b"x-first", b"1"),
+        (b"connection", b"X-First, x-second"),
+        (b"x-second", b"2"),
+        (b"x-third", b"3"),
+    ]
+    assert end_to_end_headers(headers) == (Header(b"x-third", b"3"),)
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -252,3 +252,11 @@
     path.write_text("node_name: x\n- y\n")
     with pytest.raises(SettingsError, match="can't be read"):
         load_platform_settings(path)
+
+
+@pytest.mark.parametrize("value", ["soon", "", "nan", "inf"])
+def test_bound_that_is_no_number_is_refused(tmp_path, value):
+    path = tmp_path / "node.ini"
+    path.write_text(SETTINGS.replace("grace_s = 6", f"grace_s = {value}"))
+    with pytest.raises(SettingsError):
+        load_platform_settings(path)
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -46,6 +46,11 @@
             ["release", "stop", "booking", CONTROL, "--operation", "x"],
             "give its --expected-revision too",
         ),
+        (
+            [*RELEASE, "--deadline", "2026-13-45T08:30:00Z"],
+            "--deadline 2026-13-45T08:30:00Z: month must be in 1..12",
+        ),
+        ([*RELEASE, "--deadline", "9" * 400 + "h"], "give at most ten years"),
         (["dump", "127.0.0.1"], "address 127.0.0.1: give host:port"),
         (["settings", "check", "none.ini"], "none.ini: can't be read"),
         (["node", "none.ini"], "none.ini: can't be read"),
