Replicas are dialled at their present address, and only while wanted

Change: dials are kept by id and address; whatever ends an addition without a member drops the target.

--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -71,7 +71,7 @@
         self.folders: dict[ReplicaId, FolderId] = {}
         self._targets: dict[ReplicaId, Address] = {}
         self._seed_dials: dict[Address, asyncio.Task[None]] = {}
-        self._dials: dict[ReplicaId, asyncio.Task[None]] = {}
+        self._dials: dict[tuple[ReplicaId, Address], asyncio.Task[None]] = {}
         self._outgoing: dict[ReplicaId, Stream] = {}
         self._incoming: dict[ReplicaId, Stream] = {}
         self._unanswered_ms: dict[ReplicaId, float] = {}
@@ -236,11 +236,13 @@
     def _update_dials(self) -> None:
         if self._group is None:
             return
-        for replica in set(self._dials) - set(self._targets):
-            self._dials.pop(replica).cancel()
-        for replica in set(self._targets) - set(self._dials):
-            dial = self._group.create_task(self._dial(self._targets[replica], replica))
-            self._dials[replica] = dial
+        targets = set(self._targets.items())
+        for target in set(self._dials) - targets:
+            self._dials.pop(target).cancel()
+        for target in targets - set(self._dials):
+            replica, address = target
+            dial = self._group.create_task(self._dial(address, replica))
+            self._dials[target] = dial
 
     async def _dial(self, address: Address, replica: ReplicaId | None) -> None:
         while True:
--- a/cicadawheel/control/replica/replica_changes.py
+++ b/cicadawheel/control/replica/replica_changes.py
@@ -87,10 +87,18 @@
             request.replica, request.host, request.port, FolderId(""), voter=False
         )
         self.raft.membership.with_learner(member)
+        try:
+            await self._introduce(request)
+        except Exception:
+            if self.raft.membership.find(request.replica) is None:
+                self.network.drop_target(request.replica)
+            raise
+
+    async def _introduce(self, request: AddReplica) -> None:
+        """Connect to a replica, and add it as a learner with the folder it names."""
         try:
             folder = await self._connect(request)
         except TimeoutError:
-            self.network.drop_target(request.replica)
             raise CommandRefusedError(
                 f"no such replica answers at {request.host}:{request.port}",
                 step="add",
--- a/test/test_replication.py
+++ b/test/test_replication.py
@@ -18,6 +18,7 @@
     NotLeaderError,
     StorageError,
 )
+from cicadawheel.settings import Address
 from cicadawheel.timer import MS_PER_S
 
 
@@ -299,11 +300,30 @@
             with pytest.raises(CommandRefusedError, match="no such replica answers"):
                 await leader.log.add_replica("d", address)
         assert leader.log.status().voters == ("a", "b", "c")
+        assert "d" not in leader.log._runner.network._targets
         await trio.propose("1")
 
     run_trio(body)
 
 
+def test_replica_with_the_data_of_another_is_not_dialled_on(run_trio, monkeypatch):
+    async def connect(changer, request):
+        address = Address(request.host, request.port)
+        changer.network.add_target(request.replica, address)
+        return changer.raft.membership.members[0].folder
+
+    monkeypatch.setattr(replica_changes.ReplicaChanger, "_connect", connect)
+
+    async def body(trio):
+        trio.start("a", "b", "c")
+        leader = await trio.elect()
+        with pytest.raises(CommandRefusedError, match="that of another member"):
+            await leader.log.add_replica("d", free_address())
+        assert "d" not in leader.log._runner.network._targets
+
+    run_trio(body)
+
+
 def test_new_deployment_waits_for_all_its_replicas(run_trio):
     async def body(trio):
         trio.start("a", "b")
--- a/test/test_replication_network.py
+++ b/test/test_replication_network.py
@@ -91,3 +91,18 @@
             clock.at_ms += SILENCE_LIMIT_MS + 1
 
     run_pair(body)
+
+
+def test_replica_is_dialled_at_its_new_address(run_pair):
+    async def body(a, b, clock):
+        moved = Address("127.0.0.1", free_port())
+        c = Network(moved, Identity("c", "boot", b"k"), Owner(), clock)
+        running = asyncio.ensure_future(c.run(lambda: None))
+        a.set_targets({"b": b.listen, "c": Address("127.0.0.1", free_port())})
+        a.set_targets({"b": b.listen, "c": moved})
+        async with asyncio.timeout(5.0):
+            assert await a.owner.introductions.get() == "c"
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    run_pair(body)
