A release isn't held by calls that have ended

Evidence that covered several steps was also divided by the last step's time only. Change: the estimate covers the time since the last evidence, and is 0 after 5 s without any.

--- a/cicadawheel/release/run.py
+++ b/cicadawheel/release/run.py
@@ -26,6 +26,9 @@
 FIRST_CALLS_MIN = 10
 USABLE_SLOT_SHARE = 0.8
 
+IDLE_MS = 5_000
+"""Without evidence for this long, a service is taken to have no calls in flight."""
+
 
 class VersionSlots(msgspec.Struct, frozen=True):
     """The number of upstreams and slots of one version that accept new calls."""
@@ -66,7 +69,7 @@
         self._blocks: Blocks = {}
         self._withdrawn = ""
         self._in_flight = 0.0
-        self._last_step_ms = now_ms
+        self._last_evidence_ms = now_ms
 
     def add(self, release: ReleaseRule, evidence: Iterable[RouteEvidence]) -> None:
         """Add the evidence of an entry."""
@@ -109,9 +112,13 @@
     def _evaluate_blocks(self, now_ms: int) -> None:
         blocks, self._blocks = self._blocks, {}
         self._judge.add(blocks)
-        period_ms = now_ms - self._last_step_ms
-        self._last_step_ms = now_ms
-        if period_ms <= 0 or not blocks:
+        period_ms = now_ms - self._last_evidence_ms
+        if not blocks:
+            if period_ms > IDLE_MS:
+                self._in_flight = 0.0
+            return
+        self._last_evidence_ms = now_ms
+        if period_ms <= 0:
             return
         busy_ms = sum(
             total_ms(block.new.latencies) + total_ms(block.old.latencies)
--- a/test/test_release_leader.py
+++ b/test/test_release_leader.py
@@ -128,3 +128,15 @@
     assert step(leader) == (ReleaseState.LATE, 0.01)
     reason = leader.state.configuration.release_of("booking").reason
     assert reason == "the deadline has passed: 0 calls of 10 seen at this share"
+
+
+def test_calls_that_have_ended_do_not_hold_a_release(leader):
+    for _ in range(3):
+        send(leader, *(make_evidence(one, 40, 0) for one in ("v1", "v2")))
+        leader.clock.time_ms += 1
+        step(leader)
+    before = leader.state.configuration.release_of("booking").share
+    for _ in range(40):
+        leader.clock.time_ms += 10_000
+        step(leader)
+    assert leader.state.configuration.release_of("booking").share > before
