A gate that starts beside a cold upstream waits out its predecessor's second

Excluded: a wait of a second from the announcement on, which was built and taken back for its cost. The window is counted from the start of the gate now: upstreams announce themselves every 1 to 1.5 s, so most of it has passed by the first announcement, and a later boot of the upstream has got requests from this gate only.

--- a/cicadawheel/gate/admission.py
+++ b/cicadawheel/gate/admission.py
@@ -83,7 +83,12 @@
         self._fell_back = False
 
     def upstream_started(
-        self, boot: BootId, slots: int, now_ms: float, cold_ms: float = 0.0
+        self,
+        boot: BootId,
+        slots: int,
+        now_ms: float,
+        cold_ms: float = 0.0,
+        sole_gate_since_ms: float | None = None,
     ) -> None:
         """Reset for a new boot of the upstream, which is assumed to be cold."""
         self.boot = boot
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -85,6 +85,7 @@
         self.settings = settings
         self.data_centre = data_centre
         self.clock: Clock = timers.clock
+        self._started_at_ms = timers.clock.now_ms()
         self.configuration = Configuration()
         self.announcement: Announcement | None = None
         self.admission = make_admission(settings)
@@ -125,6 +126,7 @@
                 announcement.slots,
                 self.clock.now_ms(),
                 announcement.cold_ms,
+                sole_gate_since_ms=self._started_at_ms,
             )
             log_event(
                 log,
@@ -277,6 +279,7 @@
         self.repeats.ended(call.ticket)
         if result is None:
             self.admission.withdraw(call.ticket)
+            self._push_load()
             return
         now_ms = self.clock.now_ms()
         if call.answered_whole:
--- a/cicadawheel/gate/reported_admission.py
+++ b/cicadawheel/gate/reported_admission.py
@@ -9,6 +9,7 @@
 Does no I/O and reads no clock: callers pass events with their time, and get decisions.
 """
 
+import math
 from collections import deque
 
 import msgspec
@@ -86,7 +87,8 @@
         self.cold_calls_per_s = 0.0
         self.work_ms = INITIAL_WORK_MS
         self._cold_until_ms = 0.0
-        self._cold_admitted: deque[float] = deque()
+        self._cold_closed_until_ms = -math.inf
+        self._admitted_at_ms: deque[float] = deque()
         self._admitted: dict[int, _Admitted] = {}
         self._queue: list[_QueuedRequest] = []
         self._reserve = SlotReserve()
@@ -103,9 +105,22 @@
         return len(self._queue)
 
     def upstream_started(
-        self, boot: BootId, slots: int, now_ms: float, cold_ms: float = 0.0
+        self,
+        boot: BootId,
+        slots: int,
+        now_ms: float,
+        cold_ms: float = 0.0,
+        sole_gate_since_ms: float | None = None,
     ) -> None:
-        """Reset for a new boot of the upstream."""
+        """Reset for a new boot of the upstream.
+
+        A gate that starts while its upstream is cold doesn't know what its predecessor
+        has sent. It admits nothing for one window after ``sole_gate_since_ms``, by
+        default ``now_ms``. A later boot has got requests from this gate only.
+        """
+        if not self.boot and cold_ms > 0.0:
+            since_ms = now_ms if sole_gate_since_ms is None else sole_gate_since_ms
+            self._cold_closed_until_ms = since_ms + COLD_WINDOW_MS
         self.boot = boot
         self.slots = slots
         self.leaving = False
@@ -312,9 +327,10 @@
     def _wait_ms(self, ahead: int, now_ms: float) -> float:
         """Return the expected wait of a request with ``ahead`` others before it."""
         wait_ms = (ahead + 1) / max(1, self.slots) * self.work_ms * self.slowness
-        if not self._is_cold(now_ms) or not self.cold_calls_per_s:
+        if not self._is_cold(now_ms):
             return wait_ms
-        cold_ms = (ahead + 1) / self.cold_calls_per_s * COLD_WINDOW_MS
+        cold_ms = (ahead + 1) / self._cold_limit() * COLD_WINDOW_MS
+        cold_ms = max(cold_ms, self._cold_closed_until_ms - now_ms)
         return max(wait_ms, min(cold_ms, self._cold_until_ms - now_ms))
 
     def _is_cold(self, now_ms: float) -> bool:
@@ -340,18 +356,23 @@
             for request in self._admitted.values()
         )
 
+    def _cold_limit(self) -> int:
+        """Return how many requests a cold upstream gets in any window, 1 if unknown."""
+        return max(1, int(self.cold_calls_per_s))
+
     def _cold_rate_allows(self, now_ms: float) -> bool:
-        admitted = self._cold_admitted
+        if now_ms < self._cold_closed_until_ms:
+            return False
+        self._forget_admissions(now_ms)
+        return len(self._admitted_at_ms) < self._cold_limit()
+
+    def _forget_admissions(self, now_ms: float) -> None:
+        """Forget the admissions before the window of the cold limit."""
+        admitted = self._admitted_at_ms
         while admitted and admitted[0] <= now_ms - COLD_WINDOW_MS:
             admitted.popleft()
-        return len(admitted) < max(1, int(self.cold_calls_per_s))
 
     def _admit(self, ticket: int, alone: bool, now_ms: float) -> None:
         self._admitted[ticket] = _Admitted(alone, now_ms)
-        self._cold_admitted.append(now_ms)
-        if len(self._cold_admitted) > COLD_ADMISSIONS_LIMIT:
-            self._cold_admitted.popleft()
-
-
-COLD_ADMISSIONS_LIMIT = 256
-"""The number of admission times kept, above the rate limit of any cold upstream."""
+        self._forget_admissions(now_ms)
+        self._admitted_at_ms.append(now_ms)
--- a/test/test_load_news.py
+++ b/test/test_load_news.py
@@ -1,9 +1,14 @@
 """When a gate pushes a load report to the entries."""
 
+import asyncio
+
 import pytest
+from lone_gate import make_call, serve_gate
+from msgspec.structs import replace
+from site_in_loop import until
 
 from cicadawheel.gate.news import LoadChangeFilter
-from cicadawheel.messages import LoadReport
+from cicadawheel.messages import Cancel, LoadReport
 
 
 def make_load(in_flight=0, slowness=1.0, queued=0, **fields):
@@ -53,3 +58,33 @@
 def test_small_changes_accumulate(news):
     assert not news.should_push(make_load(1, 1.3))
     assert news.should_push(make_load(1, 1.5))
+
+
+class SilentUpstream:
+    """Reads requests and never answers."""
+
+    open = 0
+
+    async def serve(self, reader, writer):
+        self.open += 1
+        await reader.read(-1)
+        writer.close()
+        self.open -= 1
+
+
+def test_queued_call_that_is_cancelled_is_reported():
+    async def run():
+        async with serve_gate(SilentUpstream()) as gate:
+            loads = []
+            gate.listeners.add(loads.append)
+            calls = []
+            for number, priority in enumerate((0, 1, 1, 1)):
+                call = replace(make_call(f"r{number}"), priority=priority)
+                calls.append(gate.open(call, lambda message: None))
+            await until(lambda: loads[-1].queued == 1)
+            calls[-1].receive(Cancel(1, "left"))
+            assert loads[-1].queued == 0
+            for call in calls[:-1]:
+                call.receive(Cancel(1, "left"))
+
+    asyncio.run(run())
--- a/test/test_told_admission.py
+++ b/test/test_told_admission.py
@@ -110,6 +110,32 @@
         assert sum(since_ms <= at < since_ms + 1_000 for at in admitted) <= 6
 
 
+def test_gate_that_has_run_for_a_second_admits_to_a_cold_upstream_at_once():
+    admission = ReportedAdmission()
+    admission.upstream_started("1", SLOTS, 1_500.0, 3_000.0, sole_gate_since_ms=400.0)
+    admission.set_cold_limit(3.0)
+    verdicts = [admission.offer(ticket, FAR_MS, 1_500.0).verdict for ticket in range(4)]
+    assert verdicts == [Verdict.ADMIT] * 3 + [Verdict.WAIT]
+
+
+def test_cold_limit_above_hundreds_a_second_holds():
+    admission = ReportedAdmission()
+    admission.upstream_started("1", 2_000, 0.0)
+    admission.cold_reported(3_000.0, 0.0)
+    admission.set_cold_limit(300.0)
+    verdicts = [
+        admission.offer(ticket, FAR_MS, ticket / 10).verdict for ticket in range(900)
+    ]
+    assert verdicts.count(Verdict.ADMIT) == 300
+
+
+def test_unknown_cold_limit_refuses_what_it_would_not_admit_in_time(admission):
+    admission.cold_reported(60_000.0, 0.0)
+    assert admission.offer(1, 2_000.0, 0.0).verdict is Verdict.ADMIT
+    assert admission.offer(2, 2_000.0, 0.0).verdict is Verdict.WAIT
+    assert admission.offer(3, 2_000.0, 0.0).reason is RefusalReason.COLD
+
+
 def test_upstream_that_reports_the_end_of_its_cold_start_gets_all_slots(admission):
     admission.upstream_started("2", SLOTS, 0.0, cold_ms=3_000.0)
     admission.set_cold_limit(1.0)
