--- a/test/test_entry_calls.py
+++ b/test/test_entry_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from msgspec.structs import replace
 from site_in_loop import call, until
 
 from cicadawheel.entry.peers import PeerLink
@@ -267,6 +268,38 @@
     on_site(work)
 
 
+def test_request_late_in_a_planned_stop_is_answered_or_never_passed_on(on_site):
+    async def work(site):
+        await site.warm_up()
+        node = site.nodes[0]
+        node.settings = replace(
+            node.settings,
+            node=replace(node.settings.node, drain_notice_ms=600.0),
+        )
+        answered, closed = 0, 0
+        loop = asyncio.get_running_loop()
+        site.stops[1].set()
+        ends_at_s = loop.time() + 1.0
+        while loop.time() < ends_at_s:
+            before = total(site, "runs")
+            try:
+                async with Caller(node) as caller:
+                    await asyncio.sleep(0.02)
+                    caller.send("POST", "/book", b"1", f"Idempotency-Key: {before}")
+                    status, _ = await caller.answer()
+            except (OSError, asyncio.IncompleteReadError):
+                closed += 1
+                await asyncio.sleep(STEADY_S / 4)
+                assert total(site, "runs") == before
+            else:
+                answered += 1
+                assert status in (200, 503)
+        assert answered > 5
+        assert closed > 2
+
+    on_site(work)
+
+
 def test_idle_node_stops_only_after_its_peers_know_that_it_leaves(on_site):
     async def work(site):
         loop = asyncio.get_running_loop()
