A call whose deadline passes while it waits for its claim says so

The claim's time-out lies a margin before the deadline of its call. On a loop that stalls for longer both timers are due, and that of the call runs first, with 504. Excluded: a claim that was confirmed, none was open at that time. Change: a call that is waiting for its claim at its deadline ends as no claim.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -480,6 +480,9 @@
         self._cancel_attempts("deadline", late=True)
         if self.state is CallState.REPLYING:
             self._abort_answer(RefusalReason.DEADLINE)
+        elif self.state is CallState.CLAIMING:
+            # A busy loop may run this timer before that of the claim.
+            self._refuse(RefusalReason.NO_CLAIM)
         else:
             self._refuse(RefusalReason.DEADLINE)
 
