Gates measure the share of failures, and placing avoids it

Cause: an entry leaves an upstream out after five failures without a success in between. Excluded: sharing ejections between entries; the gate sees all results and its load reports reach the entries already. Change: a moving average over about ten results, which fades by half in 2 s; it travels in load reports as an optional field; placing adds four work times for each failure that it makes likely beyond 0.15.

--- a/cicadawheel/entry/candidate.py
+++ b/cicadawheel/entry/candidate.py
@@ -115,6 +115,11 @@
         """The factor by which work takes longer than usual, as last reported."""
         return 1.0 if self.load is None else self.load.slowness
 
+    @property
+    def failure_share(self) -> float:
+        """The share of recent requests that it has failed, as last reported."""
+        return 0.0 if self.load is None else self.load.failure_share
+
     def calls(self) -> float:
         """Return the calls of the last report and those dispatched since."""
         if self.load is None:
--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -40,6 +40,13 @@
 FULL_LOAD_DELAY = 0.35
 """The fraction by which a call takes longer when all slots are taken."""
 
+TOLERATED_FAILURE_SHARE = 0.15
+"""A share up to this may be chance, as it is measured over about ten requests."""
+
+FAILURE_COST = 4.0
+"""The cost of a failure in work times. At an upstream that fails half of its requests
+it is that of a short queue: such an upstream is better than a refusal."""
+
 TIE_FACTOR = 1.05
 """Costs within this factor count as equal, so that entries don't herd."""
 
@@ -90,6 +97,9 @@
     queued_calls = calls + 1.0 - capacity
     if queued_calls > 0.0:
         cost_ms += queued_calls / capacity * profile.work_ms * slowness
+    excess_share = candidate.failure_share - TOLERATED_FAILURE_SHARE
+    if excess_share > 0.0:
+        cost_ms += excess_share * FAILURE_COST * profile.work_ms
     if own:
         return cost_ms
     cost_ms += HOP_MS
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -144,6 +144,7 @@
         self.alone = False
         self.answered_whole = False
         self._admitted = False
+        self.admitted_at_ms = now_ms
         self._sent_at_ms: float | None = None
         self._service_time_ms: float | None = None
         self._request_parts: list[bytes] = []
@@ -177,6 +178,7 @@
     def admit(self) -> None:
         """Send the request to the upstream."""
         self._admitted = True
+        self.admitted_at_ms = self.gate.clock.now_ms()
         self.state = CallState.CONNECTING
         if self.alone:
             self.gate.guard.suspects.test_started(self.call.fingerprint)
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -12,6 +12,7 @@
 from cicadawheel.gate.admission import Admission, AdmissionReport
 from cicadawheel.gate.call import CallState, GateCall
 from cicadawheel.gate.decision import Decision, Result, SchedulingHints, Verdict
+from cicadawheel.gate.failures import FailureShare, is_failure
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.health import HealthReader, HealthReport, read_load
 from cicadawheel.gate.news import LoadChangeFilter
@@ -91,6 +92,7 @@
         self.admission = make_admission(settings)
         self.listeners: set[Callable[[LoadReport], None]] = set()
         self._load_changes = LoadChangeFilter()
+        self._failures = FailureShare()
         self._health: HealthReader | None = None
         if settings.limit == REPORTED_LIMIT:
             self._health = HealthReader(dialect, self._health_received)
@@ -194,9 +196,11 @@
     def load(self) -> LoadReport:
         """Return the current load of the upstream."""
         load = self.admission.load(self.configuration.revision, self.clock.now_ms())
-        if self.repeats.may_repeat():
-            return load
-        return msgspec.structs.replace(load, may_repeat=False)
+        return msgspec.structs.replace(
+            load,
+            may_repeat=self.repeats.may_repeat(),
+            failure_share=self._failures.value(self.clock.now_ms()),
+        )
 
     def open(self, call: CallOpen, sink: ReplySink) -> GateCall:
         """Accept, queue or refuse a call; reply messages are passed to ``sink``."""
@@ -284,6 +288,7 @@
             self._push_load()
             return
         now_ms = self.clock.now_ms()
+        self._record_failure(call, result, now_ms)
         if call.answered_whole:
             self.guard.answered(call.call.fingerprint, now_ms)
         self._apply_decisions(
@@ -291,6 +296,16 @@
         )
         self._push_load()
 
+    def _record_failure(self, call: GateCall, result: Result, now_ms: float) -> None:
+        load = self.admission.load(self.configuration.revision, now_ms)
+        usual_ms = (call.call.work_ms or load.service_time_ms) * load.slowness
+        took_ms = now_ms - call.admitted_at_ms
+        # The request itself is still counted as in flight.
+        had_free_slot = load.in_flight <= load.limit
+        failed = is_failure(result, took_ms, usual_ms, had_free_slot)
+        if failed is not None:
+            self._failures.add(failed, now_ms)
+
     def _reason_to_refuse(self, call: CallOpen) -> RefusalReason | None:
         announced = self.announcement
         if not self.configuration.revision:
--- a/cicadawheel/gate/news.py
+++ b/cicadawheel/gate/news.py
@@ -10,6 +10,9 @@
 SLOWNESS_STEP = 1.4
 """A smaller change of the slowness is within the spread of calls and moves none."""
 
+FAILURE_STEP = 0.15
+"""A smaller change of the share of failures may be chance."""
+
 FULL_INTERVAL_MS = 500.0
 """The minimum time between two pushes of whether a slot is free.
 
@@ -43,5 +46,7 @@
         return True
     if (pushed.cold_share < 1.0) != (load.cold_share < 1.0):
         return True
+    if abs(pushed.failure_share - load.failure_share) >= FAILURE_STEP:
+        return True
     ratio = load.slowness / pushed.slowness
     return ratio >= SLOWNESS_STEP or ratio <= 1.0 / SLOWNESS_STEP
--- a/cicadawheel/messages.py
+++ b/cicadawheel/messages.py
@@ -33,6 +33,7 @@
     ``slowness`` is the current service time relative to the usual one, if the
     upstream reports it; ``service_time_ms`` is then the time at the usual speed.
     ``may_repeat`` is true if the gate's repeat budget has room for a repeat.
+    ``failure_share`` is the share of recent requests that the upstream has failed.
     """
 
     in_flight: int
@@ -45,6 +46,7 @@
     revision: Revision
     slowness: float = 1.0
     may_repeat: bool = True
+    failure_share: float = 0.0
 
     def has_free_slot(self) -> bool:
         """Return whether a call would find a free slot."""
--- a/test/news_fleet.py
+++ b/test/news_fleet.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from random import Random
 
+from msgspec.structs import replace
 from spells import SLOW_SHARE, SLOWNESS, ends_ms, period_number
 
 from cicadawheel.announcement import UpstreamLoad
@@ -14,6 +15,7 @@
 from cicadawheel.entry.retry import DISPATCH_LIMIT
 from cicadawheel.entry.router import Router
 from cicadawheel.gate.decision import Result, SchedulingHints, Verdict
+from cicadawheel.gate.failures import FailureShare
 from cicadawheel.gate.news import LoadChangeFilter
 from cicadawheel.gate.reported_admission import ReportedAdmission
 from cicadawheel.messages import RefusalReason
@@ -39,6 +41,8 @@
         self.admission = ReportedAdmission()
         self.admission.upstream_started("b", SLOTS, 0.0)
         self.changes = LoadChangeFilter()
+        self.failures = FailureShare()
+        self.failing = 0.0
         self.calls = {}
 
     def slowness(self, now_ms):
@@ -75,12 +79,16 @@
 
     def finish(self, number, now_ms):
         call = self.calls.pop(number)
-        decisions = self.admission.finish(number, Result.ANSWERED, now_ms, WORK_MS)
-        self.fleet.answered(call, self, now_ms)
+        failed = self.fleet.draw.random() < self.failing
+        result = Result.FAILED if failed else Result.ANSWERED
+        self.failures.add(failed, now_ms)
+        decisions = self.admission.finish(number, result, now_ms, WORK_MS)
+        self.fleet.answered(call, self, failed, now_ms)
         self.apply(decisions, now_ms)
 
     def load(self, now_ms):
-        return self.admission.load(1, now_ms)
+        load = self.admission.load(1, now_ms)
+        return replace(load, failure_share=self.failures.value(now_ms))
 
     def push(self, now_ms):
         load = self.load(now_ms)
@@ -145,10 +153,11 @@
             action(*arguments, now_ms)
         return self.ends
 
-    def answered(self, call, gate, now_ms):
+    def answered(self, call, gate, failed, now_ms):
         call.router.ended(gate.node, gate.load(now_ms), now_ms)
+        call.router.answered(gate.node, not failed, now_ms)
         in_time = now_ms - call.started_ms <= TARGET_MS
-        self.ends["in time" if in_time else "late"] += 1
+        self.ends["failed" if failed else "in time" if in_time else "late"] += 1
 
     def refused(self, call, gate, reason, now_ms):
         call.router.ended(gate.node, gate.load(now_ms), now_ms)
