No wait beside a cold upstream that started with its gate

Change: an announcement may carry the time of the upstream's start, which the platform's heartbeats do. One that started a second before the gate, or later, has got nothing from an earlier gate.

--- a/cicadawheel/announcement.py
+++ b/cicadawheel/announcement.py
@@ -30,8 +30,8 @@
     """Announces that an upstream accepts requests at ``host:port``.
 
     The upstream repeats it at least every `AnnounceAnswer.repeat_ms`. ``boot`` changes
-    with each start of the upstream. ``cold_ms`` is its expected warm-up time, 0 if
-    unknown.
+    with each start of the upstream. ``cold_ms`` is its expected warm-up time, and
+    ``started_unix_ms`` the Unix time of its start; both are 0 if unknown.
     """
 
     upstream: Annotated[UpstreamId, msgspec.Meta(min_length=1, max_length=200)]
@@ -45,6 +45,7 @@
     health_path: str = "/health"
     load_path: str = "/load"
     cold_ms: Annotated[float, msgspec.Meta(ge=0, le=COLD_LIMIT_MS)] = 0.0
+    started_unix_ms: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class AnnounceAnswer(msgspec.Struct, frozen=True):
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import logging
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -47,6 +48,10 @@
 TICK_INTERVAL_MS = 5.0
 REPORTED_LIMIT = "told"
 
+RESTART_MS = 1_000.0
+"""The least time from a gate's end until its successor has started and is announced an
+upstream. One that has started since then has got nothing from an earlier gate."""
+
 
 class GateReport(msgspec.Struct, frozen=True):
     """The state of a gate, for operators."""
@@ -87,6 +92,7 @@
         self.data_centre = data_centre
         self.clock: Clock = timers.clock
         self._started_at_ms = timers.clock.now_ms()
+        self._started_unix_ms = timers.clock.unix_ms()
         self.configuration = Configuration()
         self.announcement: Announcement | None = None
         self.admission = make_admission(settings)
@@ -128,7 +134,7 @@
                 announcement.slots,
                 self.clock.now_ms(),
                 announcement.cold_ms,
-                sole_gate_since_ms=self._started_at_ms,
+                sole_gate_since_ms=self._sole_gate_since_ms(announcement),
             )
             log_event(
                 log,
@@ -146,6 +152,13 @@
             self.drain()
         self._enforce()
 
+    def _sole_gate_since_ms(self, announcement: Announcement) -> float:
+        """Return the time since which no other gate has sent to the upstream."""
+        started_unix_ms = announcement.started_unix_ms
+        if started_unix_ms >= self._started_unix_ms - RESTART_MS:
+            return -math.inf
+        return self._started_at_ms
+
     def leave(self, upstream: UpstreamId, boot: BootId) -> bool:
         """Stop sending new work to the upstream.
 
--- a/cicadawheel/platform/heartbeats.py
+++ b/cicadawheel/platform/heartbeats.py
@@ -78,6 +78,7 @@
             host=self.address.host,
             health_path=rule.health_path if configured else DEFAULT_HEALTH_PATH,
             cold_ms=self.cold_ms,
+            started_unix_ms=self.started_at_ms,
         )
 
 
--- a/test/test_told_admission.py
+++ b/test/test_told_admission.py
@@ -4,10 +4,13 @@
 
 import pytest
 
-from cicadawheel.announcement import UpstreamLoad
+from cicadawheel.announcement import Announcement, UpstreamLoad
 from cicadawheel.gate.decision import Result, SchedulingHints, Verdict
+from cicadawheel.gate.gate import RESTART_MS, Gate
 from cicadawheel.gate.reported_admission import ReportedAdmission
 from cicadawheel.messages import RefusalReason
+from cicadawheel.settings import GateSettings
+from cicadawheel.timer import make_timer_service
 
 SLOTS = 4
 FAR_MS = 100_000.0
@@ -215,3 +218,28 @@
         admission.offer(n, FAR_MS, 20_000.0, hints=low).verdict for n in range(SLOTS)
     ]
     assert verdicts == [Verdict.ADMIT] * SLOTS
+
+
+@pytest.mark.parametrize(
+    ("started_before_ms", "verdict"),
+    [(0.0, Verdict.ADMIT), (10 * RESTART_MS, Verdict.WAIT)],
+)
+def test_starting_gate_waits_only_if_another_may_have_sent(started_before_ms, verdict):
+    gate = Gate(GateSettings(limit="told"), "dc", make_timer_service(), "n1")
+    started_unix_ms = int(gate.clock.unix_ms() - started_before_ms)
+    gate.announce(
+        Announcement(
+            "u",
+            "1",
+            "s",
+            "v1",
+            1,
+            SLOTS,
+            20,
+            cold_ms=60_000.0,
+            started_unix_ms=started_unix_ms,
+        )
+    )
+    gate.admission.set_cold_limit(2.0)
+    now_ms = gate.clock.now_ms()
+    assert gate.admission.offer(1, now_ms + FAR_MS, now_ms).verdict is verdict
