Free slots are reported within a budget, and moves are no dispatches

Cause: an interval of 500 ms between reports of free slots is meant for fifty entries a gate. With twelve they cost little, and calls were moved in vain. Moves also used up the five dispatches of a call, so that it was refused after fewer real ones. Change: each gate spends 100 reports a second on free slots, divided by the entries that listen: every 120 ms with 12 entries, 500 ms with 50. Calls that a busy gate refused don't count as dispatches.

--- a/cicadawheel/entry/attempts.py
+++ b/cicadawheel/entry/attempts.py
@@ -67,6 +67,7 @@
         self.count = 0
         self.reached = 0
         self.tried: set[NodeId] = set()
+        self.moves = 0
         self.busy: set[NodeId] = set()
         self.live: list[Attempt] = []
         self._hedge_timer: asyncio.TimerHandle | None = None
@@ -100,6 +101,11 @@
         """Record that an attempt has ended before it reached its upstream."""
         self.reached -= 1
 
+    def mark_busy(self, node: NodeId) -> None:
+        """Record that a gate had no free slot, so that the call moves on."""
+        self.moves += 1
+        self.busy.add(node)
+
     def cancel_others(self, winner: Attempt) -> None:
         """Cancel all attempts but the one that has answered."""
         self.cancel_hedge()
--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -223,7 +223,7 @@
 
         Moving a call costs little unless its body goes along.
         """
-        if self._only_at or self._attempts.count >= MOVE_LIMIT:
+        if self._only_at or self._attempts.moves >= MOVE_LIMIT:
             return False
         if self._body.more or not self._body.replayable:
             return False
@@ -322,7 +322,7 @@
 
     def _may_start_attempt(self) -> bool:
         """Return whether the attempt limits allow one more attempt."""
-        if self._attempts.count >= DISPATCH_LIMIT:
+        if self._attempts.count - self._attempts.moves >= DISPATCH_LIMIT:
             return False
         return self._attempts.reached < self.plan.attempts
 
@@ -393,7 +393,7 @@
         if refused.not_run and not refused.reached:
             self._attempts.mark_unreached()
         if refused.reason is RefusalReason.BUSY:
-            self._attempts.busy.add(attempt.node)
+            self._attempts.mark_busy(attempt.node)
         self.entry.attempt_refused(self.plan, attempt.pick, refused)
         self._may_have_run = self._may_have_run or not refused.not_run
         self._last_reason = refused.reason
@@ -417,7 +417,7 @@
         reached, limit = self._attempts.reached, self.plan.attempts
         if not is_retriable(refused, repeatable, replayable, reached, limit):
             return False
-        if self._attempts.count >= DISPATCH_LIMIT:
+        if self._attempts.count - self._attempts.moves >= DISPATCH_LIMIT:
             return False
         return self.entry.repeats.may_retry(self.plan, refused)
 
--- a/cicadawheel/entry/retry.py
+++ b/cicadawheel/entry/retry.py
@@ -6,7 +6,8 @@
 from cicadawheel.messages import RefusalReason, Refused
 
 ATTEMPT_LIMIT = 4
-# Maximum dispatches of one request to gates, including those that reach no upstream.
+# Maximum dispatches of one request to gates, including those that reach no upstream,
+# but not those that a busy gate refused at once.
 DISPATCH_LIMIT = 5
 MIN_BUDGET_PER_S = 2.0
 BUDGET_LIMIT = 50.0
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -375,7 +375,8 @@
         if not self.listeners:
             return
         load = self.load()
-        if self._load_changes.should_push(load, self.clock.now_ms()):
+        entries = len(self.listeners)
+        if self._load_changes.should_push(load, self.clock.now_ms(), entries):
             for listener in list(self.listeners):
                 listener(load)
 
--- a/cicadawheel/gate/news.py
+++ b/cicadawheel/gate/news.py
@@ -6,6 +6,7 @@
 """
 
 from cicadawheel.messages import LoadReport
+from cicadawheel.timer import MS_PER_S
 
 SLOWNESS_STEP = 1.4
 """A smaller change of the slowness is within the spread of calls and moves none."""
@@ -13,11 +14,12 @@
 FAILURE_STEP = 0.15
 """A smaller change of the share of failures may be chance."""
 
-FULL_INTERVAL_MS = 500.0
-"""The minimum time between two pushes of whether a slot is free.
+SLOT_REPORTS_PER_S = 100.0
+"""Reports a second, to all entries together, of whether a slot is free.
 
 An upstream with few slots fills up and empties with each call, far more often than its
-slowness changes. Entries learn it from the refusals of immediate calls instead.
+slowness changes. In a small deployment these reports cost little. In a large one they
+would cost more than the calls; entries learn it from refused immediate calls instead.
 """
 
 
@@ -28,13 +30,16 @@
         self._pushed: LoadReport | None = None
         self._pushed_at_ms = 0.0
 
-    def should_push(self, load: LoadReport, now_ms: float) -> bool:
-        """Return whether to push a load; if so, record it as pushed."""
+    def should_push(self, load: LoadReport, now_ms: float, entries: int) -> bool:
+        """Return whether to push a load; if so, record it as pushed.
+
+        ``entries`` is the number of those that would get it.
+        """
         pushed = self._pushed
         if pushed is not None and not _differs(pushed, load):
-            since_ms = now_ms - self._pushed_at_ms
+            interval_ms = entries / SLOT_REPORTS_PER_S * MS_PER_S
             same = pushed.has_free_slot() == load.has_free_slot()
-            if same or since_ms < FULL_INTERVAL_MS:
+            if same or now_ms - self._pushed_at_ms < interval_ms:
                 return False
         self._pushed = load
         self._pushed_at_ms = now_ms
--- a/test/news_fleet.py
+++ b/test/news_fleet.py
@@ -92,7 +92,8 @@
 
     def push(self, now_ms):
         load = self.load(now_ms)
-        if self.changes.should_push(load, now_ms):
+        entries = len(self.fleet.listeners[self.node])
+        if self.changes.should_push(load, now_ms, entries):
             for router in self.fleet.listeners[self.node]:
                 self.fleet.reports += 1
                 router.observe(self.node, load, now_ms)
@@ -109,6 +110,7 @@
         self.tried = set()
         self.busy = set()
         self.attempts = 0
+        self.moves = 0
         self.immediate = False
 
 
@@ -164,6 +166,7 @@
         call.router.refused(gate.node, reason, now_ms)
         if reason is RefusalReason.BUSY:
             call.busy.add(gate.node)
+            call.moves += 1
             self.moves += 1
         self.at(now_ms + HOP_MS, self._place, call)
 
@@ -175,10 +178,10 @@
         self.at(now_ms + delay_ms, self._arrive, calls_per_s)
 
     def _place(self, call, now_ms):
-        may_move = call.attempts < MOVE_LIMIT
+        may_move = call.moves < MOVE_LIMIT
         avoided = call.tried - call.busy
         picked = None
-        if call.attempts < DISPATCH_LIMIT:
+        if call.attempts - call.moves < DISPATCH_LIMIT:
             picked = call.router.pick("s", "", avoided, now_ms, CallProfile(WORK_MS))
         if picked is None:
             self.ends["refused"] += 1
--- a/test/test_busy_gates.py
+++ b/test/test_busy_gates.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 import pytest
 from lone_gate import make_call, serve_gate
@@ -47,7 +48,7 @@
     load_per_s = 0.75 * CAPACITY_PER_S
     moved = NewsFleet(1)
     ends = moved.run(load_per_s, SECONDS)
-    monkeypatch.setattr(news, "FULL_INTERVAL_MS", 0.0)
+    monkeypatch.setattr(news, "SLOT_REPORTS_PER_S", math.inf)
     monkeypatch.setattr("news_fleet.MOVE_LIMIT", 0)
     reported = NewsFleet(1)
     ends_with_reports = reported.run(load_per_s, SECONDS)
--- a/test/test_load_news.py
+++ b/test/test_load_news.py
@@ -1,14 +1,19 @@
 """When a gate pushes a load report to the entries."""
 
 import asyncio
+import math
 
 import pytest
 from lone_gate import make_call, serve_gate
 from msgspec.structs import replace
 from site_in_loop import until
 
-from cicadawheel.gate.news import FULL_INTERVAL_MS, LoadChangeFilter
+from cicadawheel.gate.news import SLOT_REPORTS_PER_S, LoadChangeFilter
 from cicadawheel.messages import Cancel, LoadReport
+from cicadawheel.timer import MS_PER_S
+
+ENTRIES = 30
+INTERVAL_MS = ENTRIES / SLOT_REPORTS_PER_S * MS_PER_S
 
 
 def make_load(in_flight=0, slowness=1.0, queued=0, **fields):
@@ -26,7 +31,7 @@
 @pytest.fixture
 def news():
     made = LoadChangeFilter()
-    assert made.should_push(make_load(1), 0.0)
+    assert made.should_push(make_load(1), 0.0, ENTRIES)
     return made
 
 
@@ -41,23 +46,23 @@
     ],
 )
 def test_change_that_affects_placement_is_reported_once(news, load):
-    assert news.should_push(load, FULL_INTERVAL_MS)
-    assert not news.should_push(load, FULL_INTERVAL_MS)
+    assert news.should_push(load, INTERVAL_MS, ENTRIES)
+    assert not news.should_push(load, INTERVAL_MS, ENTRIES)
 
 
 @pytest.mark.parametrize("load", [make_load(0), make_load(2), make_load(1, 1.2)])
 def test_insignificant_change_is_not_reported(news, load):
-    assert not news.should_push(load, FULL_INTERVAL_MS)
+    assert not news.should_push(load, INTERVAL_MS, ENTRIES)
 
 
 def test_end_of_a_slow_period_is_reported(news):
-    news.should_push(make_load(1, 7.0), 1.0)
-    assert news.should_push(make_load(1, 1.0), 2.0)
+    news.should_push(make_load(1, 7.0), 1.0, ENTRIES)
+    assert news.should_push(make_load(1, 1.0), 2.0, ENTRIES)
 
 
 def test_small_changes_accumulate(news):
-    assert not news.should_push(make_load(1, 1.3), 1.0)
-    assert news.should_push(make_load(1, 1.5), 2.0)
+    assert not news.should_push(make_load(1, 1.3), 1.0, ENTRIES)
+    assert news.should_push(make_load(1, 1.5), 2.0, ENTRIES)
 
 
 class SilentUpstream:
@@ -73,7 +78,7 @@
 
 
 def test_queued_call_that_is_cancelled_is_reported(monkeypatch):
-    monkeypatch.setattr("cicadawheel.gate.news.FULL_INTERVAL_MS", 0.0)
+    monkeypatch.setattr("cicadawheel.gate.news.SLOT_REPORTS_PER_S", math.inf)
 
     async def run():
         async with serve_gate(SilentUpstream()) as gate:
@@ -90,3 +95,16 @@
                 call.receive(Cancel(1, "left"))
 
     asyncio.run(run())
+
+
+def test_free_slots_are_reported_within_a_budget():
+    for entries, interval_ms in ((5, 50.0), (50, 500.0)):
+        news = LoadChangeFilter()
+        news.should_push(make_load(1), 0.0, entries)
+        pushed_at_ms = [
+            now_ms
+            for now_ms in range(1, 2_001)
+            if news.should_push(make_load(6 if now_ms % 2 else 1), now_ms, entries)
+        ]
+        assert len(pushed_at_ms) >= 2_000 // (interval_ms + 2)
+        assert len(pushed_at_ms) * entries <= 2 * SLOT_REPORTS_PER_S
