A call isn't moved away from the same gate twice

Cause, found while reading the change anew: a gate may refuse an immediate call though its load shows a free slot, where that slot is reserved for a higher priority or the cold limit is reached. The entry, which may choose a busy gate again, then sent the call there immediately three times in vain. Change: a gate that was busy gets the call to queue it.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -218,17 +218,20 @@
         size_bytes = len(self._body.beginning)
         return self.entry.pick(self.plan, avoided, self._only_at, size_bytes)
 
-    def _may_move(self) -> bool:
-        """Return whether a busy gate should refuse the next attempt.
+    def _is_immediate(self, node: NodeId) -> bool:
+        """Return whether a gate should refuse the call if it has to wait there.
 
-        Moving a call costs little unless its body goes along.
+        That is of use where a free slot is expected, and costs little unless a body
+        goes along. A gate that was busy before gets the call to queue it.
         """
-        if self._only_at or self._attempts.moves >= MOVE_LIMIT:
+        attempts, body = self._attempts, self._body
+        if self._only_at or attempts.moves >= MOVE_LIMIT or node in attempts.busy:
             return False
-        if self._body.more or not self._body.replayable:
+        if body.more or not body.replayable:
             return False
-        size_bytes = len(self._body.beginning)
-        return self._body.is_deferred or size_bytes <= MOVED_BODY_LIMIT_BYTES
+        if not body.is_deferred and len(body.beginning) > MOVED_BODY_LIMIT_BYTES:
+            return False
+        return self.entry.has_free_slot(node)
 
     def consider_hedge(self) -> None:
         """Hedge the call if another upstream is expected to answer much sooner."""
@@ -258,8 +261,7 @@
     def _open_attempt(self, pick: Pick) -> Attempt:
         self.node = pick.member.node
         self.entry.log_placement(self.plan, pick, self._attempts.count)
-        immediate = self._may_move() and self.entry.has_free_slot(pick.member.node)
-        call = self._make_open(pick.member.version, immediate)
+        call = self._make_open(pick.member.version, self._is_immediate(self.node))
         return self._attempts.open(pick, call, self._receive)
 
     def _hedge(self) -> None:
--- a/test/test_busy_gates.py
+++ b/test/test_busy_gates.py
@@ -11,11 +11,11 @@
 from lone_gate import make_call, serve_gate
 from msgspec.structs import replace
 from news_fleet import SLOTS, WORK_MS, NewsFleet
-from site_in_loop import until
+from site_in_loop import call, until
 from spells import SLOW_SHARE, SLOWNESS
 
 from cicadawheel.gate import news
-from cicadawheel.gate.decision import SchedulingHints, Verdict
+from cicadawheel.gate.decision import Decision, SchedulingHints, Verdict
 from cicadawheel.gate.reported_admission import ReportedAdmission
 from cicadawheel.messages import Cancel, RefusalReason
 
@@ -68,6 +68,33 @@
     assert admission.offer(3, 9_000.0, 0.0).verdict is Verdict.WAIT
 
 
+def test_call_queues_at_a_gate_that_was_busy_before(on_site, monkeypatch):
+    """The gate's load may show a slot that is reserved for a higher priority."""
+    refusals = []
+
+    async def work(site):
+        for node in site.nodes:
+            node.entry.repeats.shared = True
+            monkeypatch.setattr(node.gate.admission, "offer", refuse_immediate(node))
+        answer = await call(site.nodes[0], "GET", "/list")
+        assert answer.status == 200
+
+    def refuse_immediate(node):
+        offer = node.gate.admission.offer
+
+        def offer_or_refuse(ticket, deadline_at_ms, now_ms, kind, alone, hints):
+            if hints.immediate:
+                refusals.append(node.node)
+                return Decision(ticket, Verdict.REFUSE, RefusalReason.BUSY)
+            return offer(ticket, deadline_at_ms, now_ms, kind, alone, hints)
+
+        return offer_or_refuse
+
+    on_site(work)
+    assert refusals
+    assert len(refusals) == len(set(refusals))
+
+
 class CountingUpstream:
     """Counts the requests that it reads, and never answers."""
 
@@ -100,8 +127,8 @@
             assert refused.not_run
             assert not refused.reached
             assert refused.load.in_flight == 4
-            for call in calls:
-                call.receive(Cancel(1, "left"))
+            for running in calls:
+                running.receive(Cancel(1, "left"))
         assert upstream.requests == 4
 
     asyncio.run(run())
