A report of a free slot that comes too soon is sent later

A gate that had just pushed that its last slot was taken pushed nothing when it became free within the interval, and nothing pushed again. On the platform health reports do so 20 times a second. Excluded: the budget of repeats, which had room; shares of failures, not above 0.15 after one failure. Change: where health isn't polled, a report that the budget holds back is sent once the interval has passed. Gates on the platform are unchanged.

--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -118,6 +118,7 @@
         self._calls: dict[int, GateCall] = {}
         self._timers = timers
         self._ticking = False
+        self._push_pending = False
 
     def announce(self, announcement: Announcement) -> None:
         """Register the upstream that belongs to this node, or its new boot."""
@@ -376,9 +377,20 @@
             return
         load = self.load()
         entries = len(self.listeners)
-        if self._load_changes.should_push(load, self.clock.now_ms(), entries):
+        now_ms = self.clock.now_ms()
+        if self._load_changes.should_push(load, now_ms, entries):
             for listener in list(self.listeners):
                 listener(load)
+        elif self._health is None and not self._push_pending:
+            # Gates that poll the health of their upstream push again at each report.
+            delay_ms = self._load_changes.postponed_ms(load, now_ms, entries)
+            if delay_ms > 0.0:
+                self._push_pending = True
+                self._timers.once(delay_ms, self._push_postponed)
+
+    def _push_postponed(self, now_ms: float) -> None:
+        self._push_pending = False
+        self._push_load()
 
     def _upstream_died(self) -> None:
         self.admission.restart_warm_up("upstream died", self.clock.now_ms())
--- a/cicadawheel/gate/news.py
+++ b/cicadawheel/gate/news.py
@@ -37,14 +37,22 @@
         """
         pushed = self._pushed
         if pushed is not None and not _differs(pushed, load):
-            interval_ms = entries / SLOT_REPORTS_PER_S * MS_PER_S
-            same = pushed.has_free_slot() == load.has_free_slot()
-            if same or now_ms - self._pushed_at_ms < interval_ms:
+            if pushed.has_free_slot() == load.has_free_slot():
+                return False
+            if self.postponed_ms(load, now_ms, entries) > 0.0:
                 return False
         self._pushed = load
         self._pushed_at_ms = now_ms
         return True
 
+    def postponed_ms(self, load: LoadReport, now_ms: float, entries: int) -> float:
+        """Return the time until a changed free slot may be pushed, 0 for no change."""
+        pushed = self._pushed
+        if pushed is None or pushed.has_free_slot() == load.has_free_slot():
+            return 0.0
+        interval_ms = entries / SLOT_REPORTS_PER_S * MS_PER_S
+        return max(0.0, self._pushed_at_ms + interval_ms - now_ms)
+
 
 def _differs(pushed: LoadReport, load: LoadReport) -> bool:
     if (pushed.boot, pushed.leaving) != (load.boot, load.leaving):
--- a/test/lone_gate.py
+++ b/test/lone_gate.py
@@ -17,11 +17,11 @@
 
 
 @contextlib.asynccontextmanager
-async def serve_gate(upstream):
+async def serve_gate(upstream, limit="told"):
     """Yield the gate of an upstream, which counts its open connections in ``open``."""
     server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    settings = GateSettings(limit="told")
+    settings = GateSettings(limit=limit)
     gate = Gate(settings, "dc", make_timer_service(), "n1", PLATFORM_DIALECT)
     gate.configure(Configuration(1, services={"s": ServiceRule("s", DEADLINE_MS)}))
     gate.announce(Announcement("u", "1", "s", "v1", port, 4, 20, host))
--- a/test/test_load_news.py
+++ b/test/test_load_news.py
@@ -108,3 +108,21 @@
         ]
         assert len(pushed_at_ms) >= 2_000 // (interval_ms + 2)
         assert len(pushed_at_ms) * entries <= 2 * SLOT_REPORTS_PER_S
+
+
+def test_slot_that_becomes_free_soon_after_a_report_is_reported_later():
+    async def run():
+        async with serve_gate(SilentUpstream(), limit="fixed") as gate:
+            loads = []
+            gate.listeners.add(loads.append)
+            others = [[] for _ in range(ENTRIES)]
+            gate.listeners.update(other.append for other in others)
+            for load in (make_load(1), make_load(6)):
+                gate.load = lambda load=load: load
+                gate._push_load()
+            await until(lambda: loads[-1].in_flight == 6)
+            gate.load = lambda: make_load(1)
+            gate._push_load()
+            await until(lambda: loads[-1].in_flight == 1)
+
+    asyncio.run(run())
