Count moves by their gates, one check of dispatches, one way to make a group

Read anew: the number of moves could be derived from the gates that were busy, each of which refuses a call only once; the subtraction stood twice; a cached group was made in two places of one function; what tells a failure was worked out by the caller of the function that decides it. No behaviour changes; the cases of test_failure_share pass their loads now.

--- a/cicadawheel/entry/attempts.py
+++ b/cicadawheel/entry/attempts.py
@@ -67,8 +67,8 @@
         self.count = 0
         self.reached = 0
         self.tried: set[NodeId] = set()
-        self.moves = 0
         self.busy: set[NodeId] = set()
+        """The gates that had no free slot; each refuses a call as busy only once."""
         self.live: list[Attempt] = []
         self._hedge_timer: asyncio.TimerHandle | None = None
 
@@ -101,10 +101,10 @@
         """Record that an attempt has ended before it reached its upstream."""
         self.reached -= 1
 
-    def mark_busy(self, node: NodeId) -> None:
-        """Record that a gate had no free slot, so that the call moves on."""
-        self.moves += 1
-        self.busy.add(node)
+    @property
+    def dispatches(self) -> int:
+        """The number of attempts, without those that a busy gate refused at once."""
+        return self.count - len(self.busy)
 
     def cancel_others(self, winner: Attempt) -> None:
         """Cancel all attempts but the one that has answered."""
--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -225,7 +225,7 @@
         goes along. A gate that was busy before gets the call to queue it.
         """
         attempts, body = self._attempts, self._body
-        if self._only_at or attempts.moves >= MOVE_LIMIT or node in attempts.busy:
+        if self._only_at or len(attempts.busy) >= MOVE_LIMIT or node in attempts.busy:
             return False
         if body.more or not body.replayable:
             return False
@@ -324,7 +324,7 @@
 
     def _may_start_attempt(self) -> bool:
         """Return whether the attempt limits allow one more attempt."""
-        if self._attempts.count - self._attempts.moves >= DISPATCH_LIMIT:
+        if self._attempts.dispatches >= DISPATCH_LIMIT:
             return False
         return self._attempts.reached < self.plan.attempts
 
@@ -395,7 +395,7 @@
         if refused.not_run and not refused.reached:
             self._attempts.mark_unreached()
         if refused.reason is RefusalReason.BUSY:
-            self._attempts.mark_busy(attempt.node)
+            self._attempts.busy.add(attempt.node)
         self.entry.attempt_refused(self.plan, attempt.pick, refused)
         self._may_have_run = self._may_have_run or not refused.not_run
         self._last_reason = refused.reason
@@ -419,7 +419,7 @@
         reached, limit = self._attempts.reached, self.plan.attempts
         if not is_retriable(refused, repeatable, replayable, reached, limit):
             return False
-        if self._attempts.count - self._attempts.moves >= DISPATCH_LIMIT:
+        if self._attempts.dispatches >= DISPATCH_LIMIT:
             return False
         return self.entry.repeats.may_retry(self.plan, refused)
 
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -393,19 +393,15 @@
     def _group(self, service: ServiceName, version: VersionName) -> Group:
         group = self._groups.get((service, version))
         if group is None:
-            candidates = self._by_service.get(service, [])
-            if version and all(one.member.version == version for one in candidates):
-                # The group of all versions is the same, and ranking is costly.
-                group = self._groups[(service, version)] = self._group(
-                    service, VersionName("")
-                )
-                return group
-            group = make_group(
-                candidates,
-                version,
-                self.configuration,
-                self.data_centre,
-                self.node,
-            )
+            group = self._make_group(service, version)
             self._groups[(service, version)] = group
         return group
+
+    def _make_group(self, service: ServiceName, version: VersionName) -> Group:
+        candidates = self._by_service.get(service, [])
+        if version and all(one.member.version == version for one in candidates):
+            # The group of all versions is the same, and ranking is costly.
+            return self._group(service, VersionName(""))
+        return make_group(
+            candidates, version, self.configuration, self.data_centre, self.node
+        )
--- a/cicadawheel/gate/failures.py
+++ b/cicadawheel/gate/failures.py
@@ -8,6 +8,7 @@
 """
 
 from cicadawheel.gate.decision import Result
+from cicadawheel.messages import LoadReport
 
 SAMPLE_WEIGHT = 0.1
 """Weight of a new result in the moving average, about ten results."""
@@ -40,7 +41,7 @@
 
 
 def is_failure(
-    result: Result, took_ms: float, usual_ms: float, had_free_slot: bool
+    result: Result, load: LoadReport, took_ms: float, work_ms: float
 ) -> bool | None:
     """Return whether the upstream failed a request, None if that can't be told.
 
@@ -48,18 +49,20 @@
     ----------
     result : Result
         How the request ended.
-    took_ms, usual_ms : float
-        The time from its admission to its end, and its usual work time at the present
-        slowness.
-    had_free_slot : bool
-        Whether the upstream had room beside this request.
+    load : LoadReport
+        The load of the upstream, in which the request still counts as in flight.
+    took_ms : float
+        The time from the request's admission to its end.
+    work_ms : float
+        Its usual work time, 0 if unknown.
     """
     if result is Result.ANSWERED:
         return False
     if result in FAILED:
         return True
     if result is Result.SHED:
-        return True if had_free_slot else None
+        return True if load.in_flight <= load.limit else None
+    usual_ms = (work_ms or load.service_time_ms) * load.slowness
     if result is Result.CANCELLED and took_ms > OVERDUE_FACTOR * usual_ms:
         return True
     return None
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -312,11 +312,8 @@
 
     def _record_failure(self, call: GateCall, result: Result, now_ms: float) -> None:
         load = self.admission.load(self.configuration.revision, now_ms)
-        usual_ms = (call.call.work_ms or load.service_time_ms) * load.slowness
         took_ms = now_ms - call.admitted_at_ms
-        # The request itself is still counted as in flight.
-        had_free_slot = load.in_flight <= load.limit
-        failed = is_failure(result, took_ms, usual_ms, had_free_slot)
+        failed = is_failure(result, load, took_ms, call.call.work_ms)
         if failed is not None:
             self._failures.add(failed, now_ms)
 
--- a/test/test_failure_share.py
+++ b/test/test_failure_share.py
@@ -6,6 +6,7 @@
 from cicadawheel.entry import placement
 from cicadawheel.gate.decision import Result
 from cicadawheel.gate.failures import HALF_LIFE_MS, FailureShare, is_failure
+from cicadawheel.messages import LoadReport
 
 GREY_NODES = [f"n{number}" for number in range(0, 42, 7)]
 GREY_SHARE = 0.45
@@ -54,4 +55,7 @@
     ],
 )
 def test_only_what_the_upstream_failed_counts(result, took_ms, had_free_slot, failed):
-    assert is_failure(result, took_ms, 100.0, had_free_slot) is failed
+    in_flight = 4 if had_free_slot else 5
+    load = LoadReport(in_flight, 0, 4, 50.0, 1.0, False, "b", 1, slowness=2.0)
+    assert is_failure(result, load, took_ms, work_ms=50.0) is failed
+    assert is_failure(result, load, took_ms, work_ms=0.0) is failed
