Reports of free slots are paid from a bucket, in small and large deployments

Cause, found while reading the change anew: an interval between reports held back also the few of a small deployment, and what was held back was sent later only where health isn't polled: a special case beside a mechanism that was wrong. test_nested_call_of_a_repeated_run was red for it. Excluded: a burst of 100 tokens. Change: each push takes a token for each entry, 100 come back in a second, 30 can be saved; a change of free slots alone waits for the tokens and is sent when they are there.

--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -378,8 +378,7 @@
         if self._load_changes.should_push(load, now_ms, entries):
             for listener in list(self.listeners):
                 listener(load)
-        elif self._health is None and not self._push_pending:
-            # Gates that poll the health of their upstream push again at each report.
+        elif not self._push_pending:
             delay_ms = self._load_changes.postponed_ms(load, now_ms, entries)
             if delay_ms > 0.0:
                 self._push_pending = True
--- a/cicadawheel/gate/news.py
+++ b/cicadawheel/gate/news.py
@@ -22,36 +22,56 @@
 would cost more than the calls; entries learn it from refused immediate calls instead.
 """
 
+SLOT_REPORTS_BURST = 30.0
+"""Reports that a gate may save up, so that a small deployment gets them at once."""
+
 
 class LoadChangeFilter:
-    """Compares each load with the one that was pushed last."""
+    """Compares each load with the one that was pushed last.
+
+    Every push is paid from a token bucket, as it tells of free slots too. Only a change
+    of nothing but free slots waits for the tokens.
+    """
 
     def __init__(self):
         self._pushed: LoadReport | None = None
-        self._pushed_at_ms = 0.0
+        self._tokens = SLOT_REPORTS_BURST
+        self._filled_at_ms = 0.0
 
     def should_push(self, load: LoadReport, now_ms: float, entries: int) -> bool:
         """Return whether to push a load; if so, record it as pushed.
 
         ``entries`` is the number of those that would get it.
         """
-        pushed = self._pushed
-        if pushed is not None and not _differs(pushed, load):
-            if pushed.has_free_slot() == load.has_free_slot():
+        self._fill(now_ms)
+        if not self._is_urgent(load):
+            if not self._has_other_slots(load):
                 return False
             if self.postponed_ms(load, now_ms, entries) > 0.0:
                 return False
+        self._tokens = max(0.0, self._tokens) - entries
         self._pushed = load
-        self._pushed_at_ms = now_ms
         return True
 
     def postponed_ms(self, load: LoadReport, now_ms: float, entries: int) -> float:
-        """Return the time until a changed free slot may be pushed, 0 for no change."""
-        pushed = self._pushed
-        if pushed is None or pushed.has_free_slot() == load.has_free_slot():
+        """Return the time until a change of free slots may be pushed, 0 for none."""
+        if not self._has_other_slots(load):
             return 0.0
-        interval_ms = entries / SLOT_REPORTS_PER_S * MS_PER_S
-        return max(0.0, self._pushed_at_ms + interval_ms - now_ms)
+        self._fill(now_ms)
+        missing = min(float(entries), SLOT_REPORTS_BURST) - self._tokens
+        return max(0.0, missing / SLOT_REPORTS_PER_S * MS_PER_S)
+
+    def _is_urgent(self, load: LoadReport) -> bool:
+        return self._pushed is None or _differs(self._pushed, load)
+
+    def _has_other_slots(self, load: LoadReport) -> bool:
+        pushed = self._pushed
+        return pushed is not None and pushed.has_free_slot() != load.has_free_slot()
+
+    def _fill(self, now_ms: float) -> None:
+        refill = (now_ms - self._filled_at_ms) / MS_PER_S * SLOT_REPORTS_PER_S
+        self._tokens = min(SLOT_REPORTS_BURST, self._tokens + refill)
+        self._filled_at_ms = now_ms
 
 
 def _differs(pushed: LoadReport, load: LoadReport) -> bool:
