Moving a call and publishing a load in modules of their own

Read anew: the decision to move a call stood among the states of a call, with two constants, and could only be tested with sockets; the gate kept listeners, filter, timer and a flag for what it pushes. Change: entry/moves.py decides and says which load it answers; gate/load_publisher.py owns the listeners. The model counts moves by the gates that were busy, as the product does, and may not choose the same one twice. No behaviour changes but that: the product's was mended in.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -14,6 +14,7 @@
     may_run,
     settle_claim,
 )
+from cicadawheel.entry.moves import may_move_on
 from cicadawheel.entry.owner import CallEnd, CallOwner
 from cicadawheel.entry.plan import CallPlan, make_fingerprint
 from cicadawheel.entry.reply import ReplyRelay
@@ -43,10 +44,6 @@
 GATE_MARGIN_SHARE = 0.05
 # A hedge costs an upstream work, so it must be expected to save at least this.
 HEDGE_GAIN_MS = 60.0
-# Busy gates refuse this many attempts of a call, which then queues at the best one.
-MOVE_LIMIT = 3
-# A longer body takes too long on the links of small VMs to be sent in vain.
-MOVED_BODY_LIMIT_BYTES = 2_048
 
 
 class CallState(Enum):
@@ -219,17 +216,8 @@
         return self.entry.pick(self.plan, avoided, self._only_at, size_bytes)
 
     def _is_immediate(self, node: NodeId) -> bool:
-        """Return whether a gate should refuse the call if it has to wait there.
-
-        That is of use where a free slot is expected, and costs little unless a body
-        goes along. A gate that was busy before gets the call to queue it.
-        """
-        attempts, body = self._attempts, self._body
-        if self._only_at or len(attempts.busy) >= MOVE_LIMIT or node in attempts.busy:
-            return False
-        if body.more or not body.replayable:
-            return False
-        if not body.is_deferred and len(body.beginning) > MOVED_BODY_LIMIT_BYTES:
+        """Return whether a gate is asked to start the call at once or refuse it."""
+        if self._only_at or not may_move_on(node, self._attempts.busy, self._body):
             return False
         return self.entry.has_free_slot(node)
 
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -4,7 +4,6 @@
 import itertools
 import logging
 import math
-from collections.abc import Callable
 
 import msgspec
 
@@ -16,7 +15,7 @@
 from cicadawheel.gate.failures import FailureShare, is_failure
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.health import HealthReader, HealthReport, read_load
-from cicadawheel.gate.news import LoadChangeFilter
+from cicadawheel.gate.load_publisher import LoadPublisher
 from cicadawheel.gate.repeat_budget import RepeatBudgetReport
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.reported_admission import ReportedAdmission
@@ -96,8 +95,7 @@
         self.configuration = Configuration()
         self.announcement: Announcement | None = None
         self.admission = make_admission(settings)
-        self.listeners: set[Callable[[LoadReport], None]] = set()
-        self._load_changes = LoadChangeFilter()
+        self.publisher = LoadPublisher(timers, lambda: self.load())
         self._failures = FailureShare()
         self._health: HealthReader | None = None
         if settings.limit == REPORTED_LIMIT:
@@ -118,7 +116,6 @@
         self._calls: dict[int, GateCall] = {}
         self._timers = timers
         self._ticking = False
-        self._push_pending = False
 
     def announce(self, announcement: Announcement) -> None:
         """Register the upstream that belongs to this node, or its new boot."""
@@ -246,7 +243,7 @@
         )
         self._apply_decisions([decision])
         self._schedule_tick()
-        self._push_load()
+        self.publisher.push()
         return gate_call
 
     def report_due(self, now_ms: float) -> bool:
@@ -272,7 +269,7 @@
         load = read_load(response, self.dialect)
         if load is not None:
             self.admission.load_reported(load)
-            self._push_load()
+            self.publisher.push()
 
     def close(self) -> None:
         """Stop reading reports and close the idle connections to the upstream."""
@@ -299,7 +296,7 @@
         self.repeats.ended(call.ticket)
         if result is None:
             self.admission.withdraw(call.ticket)
-            self._push_load()
+            self.publisher.push()
             return
         now_ms = self.clock.now_ms()
         self._record_failure(call, result, now_ms)
@@ -308,7 +305,7 @@
         self._apply_decisions(
             self.admission.finish(call.ticket, result, now_ms, service_time_ms)
         )
-        self._push_load()
+        self.publisher.push()
 
     def _record_failure(self, call: GateCall, result: Result, now_ms: float) -> None:
         load = self.admission.load(self.configuration.revision, now_ms)
@@ -366,27 +363,7 @@
         if report.cold_ms is not None:
             self.admission.cold_reported(report.cold_ms, now_ms)
         self._apply_decisions(self.admission.tick(now_ms))
-        self._push_load()
-
-    def _push_load(self) -> None:
-        """Push the load to the entries if it differs enough from the last one sent."""
-        if not self.listeners:
-            return
-        load = self.load()
-        entries = len(self.listeners)
-        now_ms = self.clock.now_ms()
-        if self._load_changes.should_push(load, now_ms, entries):
-            for listener in list(self.listeners):
-                listener(load)
-        elif not self._push_pending:
-            delay_ms = self._load_changes.postponed_ms(load, now_ms, entries)
-            if delay_ms > 0.0:
-                self._push_pending = True
-                self._timers.once(delay_ms, self._push_postponed)
-
-    def _push_postponed(self, now_ms: float) -> None:
-        self._push_pending = False
-        self._push_load()
+        self.publisher.push()
 
     def _upstream_died(self) -> None:
         self.admission.restart_warm_up("upstream died", self.clock.now_ms())
--- a/cicadawheel/gate/server.py
+++ b/cicadawheel/gate/server.py
@@ -59,7 +59,7 @@
     def stream_opened(self, stream: Stream) -> None:
         """Subscribe the peer to the gate's load and send the current one."""
         self._stream = stream
-        self.gate.listeners.add(self._push_load)
+        self.gate.publisher.listeners.add(self._push_load)
         stream.send(ProbeReply(StreamId(0), self.gate.load()))
         log_event(log, "peer_connected", peer=stream.peer)
 
@@ -81,7 +81,7 @@
 
     def stream_closed(self, stream: Stream, error: PeerError | None) -> None:
         """Cancel the calls of the peer, as their replies can't be delivered."""
-        self.gate.listeners.discard(self._push_load)
+        self.gate.publisher.listeners.discard(self._push_load)
         calls, self._calls = self._calls, {}
         for call in calls.values():
             call.receive(Cancel(call.stream, "peer lost"))
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -154,7 +154,7 @@
         timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
         timers.every(caller.CHECK_INTERVAL_MS, self.entry.close_idle)
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
-        self.gate.listeners.add(partial(self.entry.observe, self.node))
+        self.gate.publisher.listeners.add(partial(self.entry.observe, self.node))
         self.gate.repeats.count = self.metrics.count_repeat
         if settings.entry.has_retry_budget:
             self.gate.repeats.budget = RepeatBudget(
--- a/test/news_fleet.py
+++ b/test/news_fleet.py
@@ -10,7 +10,7 @@
 
 from cicadawheel.announcement import UpstreamLoad
 from cicadawheel.configuration import Configuration, Member, ServiceRule
-from cicadawheel.entry.call import MOVE_LIMIT
+from cicadawheel.entry.moves import MOVE_LIMIT
 from cicadawheel.entry.placement import CallProfile
 from cicadawheel.entry.retry import DISPATCH_LIMIT
 from cicadawheel.entry.router import Router
@@ -110,7 +110,6 @@
         self.tried = set()
         self.busy = set()
         self.attempts = 0
-        self.moves = 0
         self.immediate = False
 
 
@@ -166,7 +165,6 @@
         call.router.refused(gate.node, reason, now_ms)
         if reason is RefusalReason.BUSY:
             call.busy.add(gate.node)
-            call.moves += 1
             self.moves += 1
         self.at(now_ms + HOP_MS, self._place, call)
 
@@ -178,17 +176,21 @@
         self.at(now_ms + delay_ms, self._arrive, calls_per_s)
 
     def _place(self, call, now_ms):
-        may_move = call.moves < MOVE_LIMIT
+        may_move = len(call.busy) < MOVE_LIMIT
         avoided = call.tried - call.busy
         picked = None
-        if call.attempts - call.moves < DISPATCH_LIMIT:
+        if call.attempts - len(call.busy) < DISPATCH_LIMIT:
             picked = call.router.pick("s", "", avoided, now_ms, CallProfile(WORK_MS))
         if picked is None:
             self.ends["refused"] += 1
             return
         call.attempts += 1
         call.tried.add(picked.node)
-        call.immediate = may_move and call.router.has_free_slot(picked.node)
+        call.immediate = (
+            may_move
+            and picked.node not in call.busy
+            and call.router.has_free_slot(picked.node)
+        )
         call.router.started(picked.node, now_ms)
         self.at(now_ms + HOP_MS, self.gates[picked.node].offer, call)
 
--- a/test/test_busy_gates.py
+++ b/test/test_busy_gates.py
@@ -14,6 +14,8 @@
 from site_in_loop import call, until
 from spells import SLOW_SHARE, SLOWNESS
 
+from cicadawheel.entry.body import DEFERRED_BODY_BYTES, RequestBody
+from cicadawheel.entry.moves import MOVED_BODY_LIMIT_BYTES, may_move_on
 from cicadawheel.gate import news
 from cicadawheel.gate.decision import Decision, SchedulingHints, Verdict
 from cicadawheel.gate.reported_admission import ReportedAdmission
@@ -95,6 +97,27 @@
     assert len(refusals) == len(set(refusals))
 
 
+@pytest.mark.parametrize(
+    ("size_bytes", "complete", "busy", "moves_on"),
+    [
+        (0, True, set(), True),
+        (0, True, {"n2", "n3"}, True),
+        (0, True, {"n1"}, False),
+        (0, True, {"n2", "n3", "n4"}, False),
+        (MOVED_BODY_LIMIT_BYTES, True, set(), True),
+        (MOVED_BODY_LIMIT_BYTES + 1, True, set(), False),
+        (DEFERRED_BODY_BYTES, True, set(), True),
+        (100, False, set(), False),
+    ],
+)
+def test_only_what_costs_little_moves_on(size_bytes, complete, busy, moves_on):
+    body = RequestBody(None, 65_536, complete=False)
+    body.receive(b"x" * size_bytes)
+    if complete:
+        body.receive_end()
+    assert may_move_on("n1", busy, body) is moves_on
+
+
 class CountingUpstream:
     """Counts the requests that it reads, and never answers."""
 
--- a/test/test_load_news.py
+++ b/test/test_load_news.py
@@ -86,7 +86,7 @@
     async def run():
         async with serve_gate(SilentUpstream()) as gate:
             loads = []
-            gate.listeners.add(loads.append)
+            gate.publisher.listeners.add(loads.append)
             calls = []
             for number, priority in enumerate((0, 1, 1, 1)):
                 call = replace(make_call(f"r{number}"), priority=priority)
@@ -122,16 +122,16 @@
     async def run():
         async with serve_gate(SilentUpstream(), limit="fixed") as gate:
             loads = []
-            gate.listeners.add(loads.append)
+            gate.publisher.listeners.add(loads.append)
             others = [[] for _ in range(ENTRIES)]
-            gate.listeners.update(other.append for other in others)
-            gate._load_changes._tokens = 0.0
+            gate.publisher.listeners.update(other.append for other in others)
+            gate.publisher._changes._tokens = 0.0
             for load in (make_load(1), make_load(6)):
                 gate.load = lambda load=load: load
-                gate._push_load()
+                gate.publisher.push()
             await until(lambda: loads[-1].in_flight == 6)
             gate.load = lambda: make_load(1)
-            gate._push_load()
+            gate.publisher.push()
             await until(lambda: loads[-1].in_flight == 1)
 
     asyncio.run(run())
