--- a/test/test_state.py
+++ b/test/test_state.py
@@ -167,6 +167,21 @@
     assert (unchanged.changed, unchanged.removed) == ((), ())
 
 
+def test_upstreams_that_left_are_not_back_after_a_restart(driver):
+    for node in ("n1", "n2", "n3"):
+        driver.register(node)
+    leaving, gone = (driver.state.members[node] for node in ("n1", "n2"))
+    driver.apply(LeaveMember, node="n1", epoch=leaving.epoch)
+    driver.apply(ExpireMembers, nodes=(("n2", gone.epoch),))
+    driver.restart()
+    assert set(driver.state.members) == {"n1", "n3"}
+    assert driver.state.members["n1"].leaving
+    assert driver.state.members_since(0).changed == tuple(driver.state.members.values())
+    driver.apply(LeaveMember, node="n3", epoch=driver.state.members["n3"].epoch)
+    driver.restart()
+    assert all(member.leaving for member in driver.state.members.values())
+
+
 def test_second_version_gets_no_calls_before_its_release(driver):
     driver.register("n4", version="v2")
     assert driver.state.configuration.services["booking"].current_version == "v1"
