--- a/cicadawheel/gate/admission.py
+++ b/cicadawheel/gate/admission.py
@@ -90,7 +90,10 @@
         cold_ms: float = 0.0,
         sole_gate_since_ms: float | None = None,
     ) -> None:
-        """Reset for a new boot of the upstream, which is assumed to be cold."""
+        """Reset for a new boot of the upstream, which is assumed to be cold.
+
+        ``cold_ms`` and ``sole_gate_since_ms`` are ignored, as every start is warmed up.
+        """
         self.boot = boot
         self.slots = slots
         self.leaving = False
