--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,77 +1,104 @@
-"""A backend crashes while backends of a version that was never ordered stand by."""
+"""A backend whose heartbeats are seconds late deregisters, and goes on serving."""
 
 import asyncio
+import contextlib
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standin import client
-from standin.backend import Backend
+from standin.backend import BEAT_INTERVAL_S, Backend
 from standin.case import NotRunError, begin, run_case, trouble
-from standin.operator import READ, Operator, configuration
-from standin.platform import ZONES, Platform
+from standin.operator import BOOK, READ, Operator, configuration
+from standin.platform import BOUNDS, ZONES, Platform
 
-OLD, NEW = "v1", "v2"
-REQUESTS = 24
-WORK_S = 1.0
-TIMEOUT_MS = 3_000
-RETRIES = 1
+LATE_S = 6.0
+LEAVES_AFTER_S = 5.0
+SERVES_ON_S = 8.0
+REQUESTS_PER_S = 40
 
 
-async def look(platform: Platform, machine, path: str) -> None:
-    """Send an idempotent request, and retry it once after a failure."""
-    for _ in range(1 + RETRIES):
-        _, reply = await client.request(
-            platform, machine, "GET", path, timeout_ms=TIMEOUT_MS
+class LateBackend(Backend):
+    """Its heartbeats are late by ``late_s`` on their way to the node."""
+
+    late_s = 0.0
+
+    async def send_beats(self) -> None:
+        """Send a heartbeat at each interval until cancelled."""
+        tasks = set()
+        while True:
+            tasks.add(asyncio.create_task(self.deliver(self.beat_body())))
+            await asyncio.sleep(BEAT_INTERVAL_S)
+
+    async def deliver(self, body: bytes) -> None:
+        """Deliver one heartbeat, maybe late."""
+        sequence, late_s = self.sequence, self.late_s
+        await asyncio.sleep(late_s)
+        reply = await self.send_beat(body)
+        answer = "no answer" if reply is None else reply.status
+        self.platform.record(
+            f"heartbeat {sequence} of {self.id} arrives {late_s} s late: {answer}"
         )
-        if reply is not None and reply.status == 200:
-            return
-        await asyncio.sleep(0.1)
 
 
 async def play(platform: Platform) -> list[str]:
-    """Play the crash of one backend."""
-    backends = [
-        Backend(platform, machine, WORK_S, version=OLD if n < 3 else NEW)
-        for n, machine in enumerate(platform.sides)
-    ]
-    old, new = backends[:3], backends[3:]
+    """Play a backend that leaves while its heartbeats are late."""
+    backends = [LateBackend(platform, machine, 0.3) for machine in platform.sides]
     operator = Operator(platform)
-    await begin(platform, old, operator, configuration())
-    platform.record(f"backends of {NEW} start; no rollout is ordered")
-    for backend in new:
-        await backend.start()
-    await asyncio.sleep(5.0)
-    sending = [
-        asyncio.create_task(
-            look(platform, platform.sides[n % 3], f"{READ}{n}"),
-        )
-        for n in range(REQUESTS)
-    ]
-    await asyncio.sleep(0.4)
-    crashing = max(old, key=lambda backend: backend.running)
-    if not crashing.running:
-        raise NotRunError("no request is in flight")
+    await begin(platform, backends, operator, configuration())
+    leaving = backends[0]
+    sending = asyncio.create_task(send_requests(platform))
+    await asyncio.sleep(1.0)
+
+    leaving.stop_beats()
     if trouble():
-        platform.record(f"{crashing.id} crashes with {crashing.running} requests")
-        await crashing.stop()
-    await asyncio.gather(*sending)
-    # Others ask for the same paths.
-    await asyncio.gather(
-        *(
-            look(platform, platform.sides[n % 3], f"{READ}{n}")
-            for n in range(0, REQUESTS, 2)
-        )
-    )
-    ran = sum(len(backend.runs) for backend in new)
-    platform.record(f"{ran} requests ran on backends of {NEW}")
-    for backend in backends:
-        if backend is not crashing or not trouble():
-            await backend.stop()
-    if not ran:
+        platform.record(f"the heartbeats of {leaving.id} are {LATE_S} s late from now")
+        leaving.late_s = LATE_S
+    beats = asyncio.create_task(leaving.send_beats())
+    await asyncio.sleep(LEAVES_AFTER_S)
+    beats.cancel()
+    reply = await leaving.deregister()
+    if reply is None or reply.status != 200:
+        raise NotRunError("the deregistration was not acknowledged")
+    acknowledged_at = time.monotonic()
+    platform.record(f"the deregistration of {leaving.id} is acknowledged")
+    await asyncio.sleep(SERVES_ON_S)
+    platform.record(f"{leaving.id} exits")
+    await leaving.stop()
+    await asyncio.sleep(2.0)
+    sending.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await sending
+    await asyncio.sleep(1.0)
+
+    late = [
+        at - acknowledged_at
+        for at, _ in leaving.arrivals
+        if at > acknowledged_at + BOUNDS["drain_s"]
+    ]
+    for backend in backends[1:]:
+        await backend.stop()
+    if not late:
         return []
-    return [f"{ran} requests ran on {NEW}, to which no order has moved any"]
+    return [
+        f"{len(late)} requests reached {leaving.id}, the first {late[0]:.2f} s and "
+        f"the last {late[-1]:.2f} s after its deregistration was acknowledged"
+    ]
+
+
+async def send_requests(platform: Platform) -> None:
+    """Send requests at a steady rate until cancelled."""
+    tasks = set()
+    number = 0
+    while True:
+        machine = platform.sides[number % len(platform.sides)]
+        number += 1
+        method, route = ("GET", READ) if number % 2 else ("POST", BOOK)
+        sending = client.request(platform, machine, method, f"{route}{number}")
+        tasks.add(asyncio.create_task(sending))
+        await asyncio.sleep(1 / REQUESTS_PER_S)
 
 
-run_case(Platform([(zone, "yoyaku") for zone in (*ZONES, *ZONES)]), play)
+run_case(Platform([(zone, "yoyaku") for zone in (*ZONES, "doto-a")]), play)
