--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -28,6 +29,7 @@
 ) -> None:
     """Play a case, which returns the breaks of its rule, and exit."""
     code = NOT_RUN
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         breaks = asyncio.run(_limited(platform, play))
         for text in breaks:
