Requests in chunks run with their body, also short ones

Cause: the entry removes Transfer-Encoding, and the gate added it again only if more of the body was to follow. A body below 16 KiB arrives in one piece, so it had no framing; h11 raised LocalProtocolError in GateCall.connected. Raised from the reader of a stream it closed that stream, with all calls on it; from the task that connects, it left the call without an answer. Excluded: the planned stop; without it the streams close too.

The same error had more entrances, each now a case of the test: a length beside chunks (RFC 9112 gives the chunks precedence; the length was forwarded, so that the body ran empty or the stream closed), and Connection naming Content-Length or Host.

Change: the gate frames what it sends by what it has: in chunks if more follows, else by length. A length beside chunks is dropped where a head is read, of requests and of answers. Host and Content-Length are never hop-by-hop.

--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -206,7 +206,7 @@
         connection.send_request(
             self.call.method,
             self.call.target,
-            self._fields(),
+            self._fields(body),
             body,
             more=not self._request_whole,
         )
@@ -336,7 +336,8 @@
             )
         )
 
-    def _fields(self) -> list[tuple[bytes, bytes]]:
+    def _fields(self, body: bytes) -> list[tuple[bytes, bytes]]:
+        """Return the header fields to send; ``body`` is its part known so far."""
         dialect = self.gate.dialect
         fields = [(header.name, header.value) for header in self.call.headers]
         left_ms = self.deadline_at_ms - self.gate.clock.now_ms()
@@ -348,8 +349,12 @@
         if dialect.expected_upstream:
             upstream = self.gate.announcement.upstream
             fields.append((dialect.expected_upstream, upstream.encode()))
-        if self.call.more and content_length(fields) is None:
-            fields.append((b"transfer-encoding", b"chunked"))
+        if content_length(fields) is None:
+            # The caller sent chunks, which end at the entry.
+            if self.call.more:
+                fields.append((b"transfer-encoding", b"chunked"))
+            elif body:
+                fields.append((b"content-length", b"%d" % len(body)))
         return fields
 
     def _take_body(self, data: bytes) -> None:
--- a/cicadawheel/http/fields.py
+++ b/cicadawheel/http/fields.py
@@ -24,6 +24,9 @@
         b"expect",
     )
 )
+KEPT_FIELDS = frozenset((b"content-length", b"host"))
+"""Fields that stay end-to-end even if ``Connection`` lists them."""
+
 END_OF_MESSAGE = h11.EndOfMessage()
 """End of a message without trailers."""
 
@@ -54,7 +57,11 @@
 
 
 def _read_fields(event: h11.Request | h11.Response) -> Headers:
-    return [(name.lower(), value) for name, value in event.headers.raw_items()]
+    fields = [(name.lower(), value) for name, value in event.headers.raw_items()]
+    if not has_field(fields, b"transfer-encoding"):
+        return fields
+    # Chunks override the length, which may differ from theirs (RFC 9112, 6.3).
+    return [field for field in fields if field[0] != b"content-length"]
 
 
 def find_field(headers: Headers, name: bytes) -> bytes | None:
@@ -78,7 +85,7 @@
         if name == b"connection"
         for item in value.split(b",")
     }
-    excluded = HOP_BY_HOP_FIELDS | replaced | listed
+    excluded = HOP_BY_HOP_FIELDS | replaced | (listed - KEPT_FIELDS)
     return tuple(Header(name, value) for name, value in headers if name not in excluded)
 
 
