An error while one call is handled ends no other call

Change: a request that h11 doesn't take fails its own exchange, and is refused as not run if nothing of it was sent. The gate and the entry catch what one call raises, log it with its traceback, and end that call. A request without Host gets the upstream's address, CONNECT 501. A parser that has switched protocols fails the exchange; it would have kept all further bytes.

Excluded: catching it in the stream for every owner. A replica or a session of control may be left in a state that is not known, so their streams close as before.

test_error_in_one_call_ends_no_other (3 cases), the two cases of test_request_that_cannot_be_forwarded_ends_no_other_call and test_request_that_is_no_valid_http_is_refused_unsent failed before and pass.

--- a/cicadawheel/entry/peers.py
+++ b/cicadawheel/entry/peers.py
@@ -179,7 +179,14 @@
             return
         if _ends_call(message):
             del self._sinks[message.stream]
-        sink(message)
+        try:
+            sink(message)
+        except Exception:
+            # The other calls on this stream go on.
+            extra = {"event": "call_failed", "node": self.member.node}
+            log.exception("call_failed", extra=extra)
+            self.send(Cancel(message.stream, "error"))
+            self.discard_call(message.stream)
 
     def stream_closed(self, stream: Stream, error: PeerError | None) -> None:
         """End the calls that were sent as lost: each of them may have run."""
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -60,12 +60,14 @@
 
 REASON_OF_END = {
     ExchangeEnd.UNREACHABLE: RefusalReason.UPSTREAM_UNREACHABLE,
+    ExchangeEnd.UNSENT: RefusalReason.CANCELLED,
     ExchangeEnd.LOST: RefusalReason.UPSTREAM_DIED,
     ExchangeEnd.TRUNCATED: RefusalReason.TRUNCATED,
     ExchangeEnd.MALFORMED: RefusalReason.TRUNCATED,
 }
 RESULT_OF_END = {
     ExchangeEnd.UNREACHABLE: Result.UNREACHABLE,
+    ExchangeEnd.UNSENT: Result.CANCELLED,
     ExchangeEnd.LOST: Result.DIED,
     ExchangeEnd.TRUNCATED: Result.DIED,
     ExchangeEnd.MALFORMED: Result.FAILED,
@@ -210,6 +212,8 @@
             body,
             more=not self._request_whole,
         )
+        if self.state is CallState.ENDED:
+            return
         self._return_credit(sum(map(len, self._request_parts)))
         self._request_parts.clear()
         if self.call.more and not self.call.body:
@@ -305,7 +309,7 @@
         self._connecting = None
         if self.state is CallState.ENDED:
             return
-        not_run = self.state is CallState.CONNECTING
+        not_run = self.state is CallState.CONNECTING or end is ExchangeEnd.UNSENT
         self._connection = None
         if end in (ExchangeEnd.LOST, ExchangeEnd.TRUNCATED):
             self.gate.guard.exchange_lost(self, end)
@@ -340,6 +344,9 @@
         """Return the header fields to send; ``body`` is its part known so far."""
         dialect = self.gate.dialect
         fields = [(header.name, header.value) for header in self.call.headers]
+        if not has_field(fields, b"host"):
+            # Callers that speak HTTP/1.0 may leave it out.
+            fields.insert(0, (b"host", str(self.gate.pool.address).encode()))
         left_ms = self.deadline_at_ms - self.gate.clock.now_ms()
         fields.append((dialect.deadline_ms, b"%d" % max(1, int(left_ms))))
         if dialect.depth:
--- a/cicadawheel/gate/server.py
+++ b/cicadawheel/gate/server.py
@@ -14,6 +14,7 @@
 from cicadawheel.logs import log_event
 from cicadawheel.messages import (
     Body,
+    CallMessage,
     CallOpen,
     Cancel,
     CrashNotice,
@@ -22,6 +23,8 @@
     LoadReport,
     Probe,
     ProbeReply,
+    RefusalReason,
+    Refused,
     ReplyMessage,
     ViewReply,
     ViewRequest,
@@ -74,10 +77,7 @@
         elif isinstance(message, ViewRequest):
             self._send_view(stream, message)
         elif message.stream in self._calls:
-            call = self._calls[message.stream]
-            call.receive(message)
-            if call.state is CallState.ENDED:
-                self._calls.pop(message.stream, None)
+            self._receive(stream, message)
 
     def stream_closed(self, stream: Stream, error: PeerError | None) -> None:
         """Cancel the calls of the peer, as their replies can't be delivered."""
@@ -87,6 +87,25 @@
             call.receive(Cancel(call.stream, "peer lost"))
         log_event(log, "peer_disconnected", peer=stream.peer, calls=len(calls))
 
+    def _receive(self, stream: Stream, message: CallMessage) -> None:
+        call = self._calls[message.stream]
+        try:
+            call.receive(message)
+        except Exception:
+            self._abandon(stream, call.call)
+            call.receive(Cancel(call.stream, "error"))
+        if call.state is CallState.ENDED:
+            self._calls.pop(message.stream, None)
+
+    def _abandon(self, stream: Stream, call: CallOpen) -> None:
+        """Refuse a call after an unexpected error, so that the others can go on."""
+        log.exception(
+            "call_failed", extra={"event": "call_failed", "request": call.request}
+        )
+        refused = Refused(call.stream, RefusalReason.CANCELLED, False, self.gate.load())
+        if stream.is_open():
+            stream.send(refused)
+
     def _push_load(self, load: LoadReport) -> None:
         if self._stream.is_open():
             self._stream.send(ProbeReply(StreamId(0), load))
@@ -104,7 +123,11 @@
             if gate_call is not None and gate_call.state is CallState.ENDED:
                 del self._calls[call.stream]
 
-        gate_call = self.gate.open(call, sink)
+        try:
+            gate_call = self.gate.open(call, sink)
+        except Exception:
+            self._abandon(stream, call)
+            return
         if gate_call.state is not CallState.ENDED:
             self._calls[call.stream] = gate_call
 
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -30,6 +30,7 @@
 LINGER_TIMEOUT_S = 2.0
 REQUEST_TIMEOUT_STATUS = 408
 CONTENT_TOO_LARGE_STATUS = 413
+NOT_IMPLEMENTED_STATUS = 501
 
 Fields = list[tuple[bytes, bytes]]
 
@@ -317,6 +318,9 @@
             self._head_started_s = None
             self._body_bytes = 0
             request = read_request(event)
+            if request.method == b"CONNECT":
+                self.refuse(NOT_IMPLEMENTED_STATUS, "tunnels aren't supported")
+                return False
             if self._reject_oversized_body(content_length(request.headers) or 0):
                 return False
             self._owner = self.service.begin_call(self, request)
--- a/cicadawheel/http/upstream.py
+++ b/cicadawheel/http/upstream.py
@@ -18,6 +18,7 @@
     read_response,
 )
 from cicadawheel.ids import RequestId
+from cicadawheel.logs import log_event
 from cicadawheel.settings import Address
 from cicadawheel.timer import MS_PER_S
 
@@ -39,9 +40,13 @@
 
 
 class ExchangeEnd(Enum):
-    """Why an exchange failed before its response was complete."""
+    """Why an exchange failed before its response was complete.
+
+    With ``UNREACHABLE`` and ``UNSENT``, the upstream got no byte of the request.
+    """
 
     UNREACHABLE = "unreachable"
+    UNSENT = "unsent"
     LOST = "lost"
     TRUNCATED = "truncated"
     MALFORMED = "malformed"
@@ -142,34 +147,51 @@
     ) -> None:
         """Send the request head and the first part of the body in one write.
 
-        ``more`` states that the rest of the body follows.
+        ``more`` states that the rest of the body follows. A request that isn't valid
+        HTTP fails the exchange, and nothing of it is sent.
         """
         self.wrote_request = True
         self._received_head = False
         self._interim_responses = 0
-        self._request = h11.Request(method=method, target=target, headers=fields)
         self._body_bytes = 0
-        data = self._http.send(self._request)
-        if body:
-            data += self._send_data(body)
-        if not more:
-            data += self._http.send(END_OF_MESSAGE)
+        try:
+            self._request = h11.Request(method=method, target=target, headers=fields)
+            data = self._http.send(self._request)
+            if body:
+                data += self._encode_body(body)
+            if not more:
+                data += self._http.send(END_OF_MESSAGE)
+        except h11.LocalProtocolError as error:
+            self._reject_request(ExchangeEnd.UNSENT, error)
+            return
         self._transport.write(data)
 
     def send_body(self, data: bytes) -> None:
         """Send a chunk of the request body."""
-        if self.is_open and self._http.our_state is h11.SEND_BODY:
-            self._transport.write(self._send_data(data))
+        self._send_rest(lambda: self._encode_body(data))
 
     def end_body(self) -> None:
         """Send the end of the request."""
-        if self.is_open and self._http.our_state is h11.SEND_BODY:
-            self._transport.write(self._http.send(END_OF_MESSAGE))
+        self._send_rest(lambda: self._http.send(END_OF_MESSAGE))
+
+    def _send_rest(self, encode: Callable[[], bytes]) -> None:
+        if not self.is_open or self._http.our_state is not h11.SEND_BODY:
+            return
+        try:
+            data = encode()
+        except h11.LocalProtocolError as error:
+            self._reject_request(ExchangeEnd.MALFORMED, error)
+            return
+        self._transport.write(data)
 
-    def _send_data(self, data: bytes) -> bytes:
+    def _encode_body(self, data: bytes) -> bytes:
         self._body_bytes += len(data)
         return self._http.send(h11.Data(data=data))
 
+    def _reject_request(self, end: ExchangeEnd, error: h11.LocalProtocolError) -> None:
+        log_event(log, "request_invalid", end=end.value, reason=error)
+        self._fail(end)
+
     def pause(self) -> None:
         """Pause reading of the response."""
         if self._reading and self.is_open:
@@ -234,7 +256,11 @@
 
     def _process_event(self) -> bool:
         event = self._http.next_event()
-        if event is h11.NEED_DATA or event is h11.PAUSED:
+        if event is h11.NEED_DATA:
+            return False
+        if event is h11.PAUSED:
+            # The upstream has switched protocols; its bytes are no response.
+            self._fail(ExchangeEnd.MALFORMED)
             return False
         if isinstance(event, h11.Response):
             self._process_head(read_response(event))
--- a/test/site_in_loop.py
+++ b/test/site_in_loop.py
@@ -314,3 +314,19 @@
     fields = {name.replace("_", "-"): value for name, value in headers.items()}
     fields = {"cicadawheel-service": "shop", **fields}
     return fetch(node.settings.node.caller_address, method, target, body, fields)
+
+
+async def hold_call(site, key):
+    """Return a call that must not be repeated, in progress at the last upstream.
+
+    ``release`` of that upstream answers it. The other upstreams must have left.
+    """
+    upstream = site.upstreams[-1]
+    count = len(upstream.held)
+    upstream.holding = True
+    task = asyncio.ensure_future(
+        call(site.nodes[0], "POST", "/book", b"held", idempotency_key=key)
+    )
+    await until(lambda: len(upstream.held) > count)
+    upstream.holding = False
+    return task
--- a/test/test_request_framing.py
+++ b/test/test_request_framing.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from site_in_loop import Site, call, until
+from site_in_loop import Site, hold_call
 
 CHUNKS = b"5\r\nhello\r\n0\r\n\r\n"
 CHUNKED = "Transfer-Encoding: chunked"
@@ -21,8 +21,7 @@
 
     async def exchange(site, data):
         entry = site.nodes[0].settings.node.caller_address
-        held = asyncio.ensure_future(call(site.nodes[0], "POST", "/hold", b"held"))
-        await until(lambda: any(upstream.held for upstream in site.upstreams))
+        held = await hold_call(site, "key")
         reader, writer = await asyncio.open_connection(entry.host, entry.port)
         writer.write(data)
         answer = await asyncio.wait_for(reader.read(), 3.0)
