Answers to calls of a service that was removed meanwhile are delivered

Callers got 502 or 504 for requests that had run, when a configuration no longer named their service. Cause: attempt_answered looked the service up to credit its retry budget, and raised KeyError; on a stream between nodes it took the other calls with it. A service that isn't configured has no budget.

test_calls_of_a_service_that_is_removed_are_answered failed before: 502.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -350,9 +350,9 @@
         self.router.ended(node, head.load, now_ms)
         if self.router.answered(node, good, now_ms):
             log_event(log, "upstream_ejected", node=node, reason="bad answers")
-        if good:
-            share = self.configuration.services[plan.service].retry_share
-            self.repeats.call_ended(plan.service, share, now_ms)
+        rule = self.configuration.services.get(plan.service)
+        if good and rule is not None:
+            self.repeats.call_ended(plan.service, rule.retry_share, now_ms)
         self.latencies.add(plan.service, latency_ms)
         self.metrics.observe_latency(plan.service, latency_ms)
 
