Errors of one call are logged as events

The catalogue's test knows events by log_event, and did not find call_failed, which was logged with log.exception: it failed since it was listed. log_event takes the traceback of an unexpected error now.

--- a/cicadawheel/entry/peers.py
+++ b/cicadawheel/entry/peers.py
@@ -183,8 +183,7 @@
             sink(message)
         except Exception:
             # The other calls on this stream go on.
-            extra = {"event": "call_failed", "node": self.member.node}
-            log.exception("call_failed", extra=extra)
+            log_event(log, "call_failed", traceback=True, node=self.member.node)
             self.send(Cancel(message.stream, "error"))
             self.discard_call(message.stream)
 
--- a/cicadawheel/gate/server.py
+++ b/cicadawheel/gate/server.py
@@ -99,9 +99,7 @@
 
     def _abandon(self, stream: Stream, call: CallOpen) -> None:
         """Refuse a call after an unexpected error, so that the others can go on."""
-        log.exception(
-            "call_failed", extra={"event": "call_failed", "request": call.request}
-        )
+        log_event(log, "call_failed", traceback=True, request=call.request)
         refused = Refused(call.stream, RefusalReason.CANCELLED, False, self.gate.load())
         if stream.is_open():
             stream.send(refused)
--- a/cicadawheel/logs.py
+++ b/cicadawheel/logs.py
@@ -174,8 +174,10 @@
     package_log.propagate = False
 
 
-def log_event(log: logging.Logger, event: str, **fields: Any) -> None:
-    """Log an event at level INFO.
+def log_event(
+    log: logging.Logger, event: str, *, traceback: bool = False, **fields: Any
+) -> None:
+    """Log an event at level INFO, or ERROR with a traceback.
 
     Parameters
     ----------
@@ -183,7 +185,10 @@
         The module's logger.
     event : str
         The event's name from the catalogue in docs/operators/events.md.
+    traceback : bool
+        Whether the traceback of the error being handled follows.
     **fields : object
         The event's fields, each with its unit as a suffix.
     """
-    log.info(event, extra={"event": event, **fields})
+    level = logging.ERROR if traceback else logging.INFO
+    log.log(level, event, extra={"event": event, **fields}, exc_info=traceback)
