Orders that were given up have no effect when they arrive late

Cause: each copy of the order got an operation id of its own, any revision and force, so neither the history nor a revision told it from a new order. Excluded: the log (the copy is proposed anew by the woken replica, not an old entry that commits late), and node views.

Change, in two parts that each stop the case: - The sender. A client that gives up closes its connection. Before an order is proposed, the replica confirms a read, and drops the order if its client has left meanwhile (503, nothing is read). - The state. A data centre keeps the revision that last changed its state, and an order expects the one that its replica knew when the order arrived. A copy that is delayed later, on its way to the leader, conflicts (503 too, so that a live sender tries again). If the state is as wanted, the order is acknowledged without a change, so that copies sent at the same time all are.

Related entrances: starts of releases get both parts too (a late copy started a version that was taken back; of two copies at the same time the second was refused), the product's own orders and changes of replicas the first part. Documents are safe already: they name their base.

--- a/cicadawheel/answers/comparison.py
+++ b/cicadawheel/answers/comparison.py
@@ -17,7 +17,7 @@
     find_route,
 )
 
-FIELDS_KEPT_BY_CONTROL = frozenset({"state", "current_version"})
+FIELDS_KEPT_BY_CONTROL = frozenset({"state", "state_revision", "current_version"})
 WRITE_METHODS = ("POST", "PUT", "PATCH", "DELETE")
 
 
--- a/cicadawheel/configuration.py
+++ b/cicadawheel/configuration.py
@@ -131,13 +131,15 @@
 class DataCentreRule(msgspec.Struct, frozen=True):
     """One data centre, its region, and whether it accepts new calls.
 
-    ``distance_ms`` is the one-way delay from each other data centre.
+    ``distance_ms`` is the one-way delay from each other data centre. ``state_revision``
+    is the revision that last changed ``state``, 0 for none.
     """
 
     name: DataCentreName
     region: str = ""
     state: DataCentreState = DataCentreState.IN
     distance_ms: dict[DataCentreName, float] = {}
+    state_revision: Revision = Revision(0)
 
 
 class MeasuringBudget(msgspec.Struct, frozen=True):
--- a/cicadawheel/control/command.py
+++ b/cicadawheel/control/command.py
@@ -30,6 +30,9 @@
 ANY_REVISION = Revision(-1)
 """Expected revision of commands that apply to any revision."""
 
+ANY_RELEASE = -1
+"""Expected start of commands that apply whatever release of the service is newest."""
+
 
 class Command(msgspec.Struct, frozen=True, tag=True, kw_only=True):
     """Base of all commands.
@@ -75,19 +78,29 @@
 
 
 class SetDataCentre(OperatorCommand, tag="set_data_centre", kw_only=True):
-    """Takes a data centre out, or brings it back in."""
+    """Takes a data centre out, or brings it back in.
+
+    ``expected_state_revision`` is the `DataCentreRule.state_revision` that the sender
+    saw. A copy of the command that was delayed conflicts with later changes.
+    """
 
     data_centre: DataCentreName
     state: DataCentreState
     force: bool = False
+    expected_state_revision: Revision = ANY_REVISION
 
 
 class StartRelease(OperatorCommand, tag="start_release", kw_only=True):
-    """Starts the release of a new version of a service, with a deadline."""
+    """Starts the release of a new version of a service, with a deadline.
+
+    ``expected_start_ms`` is the start of the service's newest release that the sender
+    saw, 0 for none. A copy of the command that was delayed conflicts with a later one.
+    """
 
     service: ServiceName
     version: VersionName
     deadline_at_ms: int
+    expected_start_ms: int = ANY_RELEASE
 
 
 class StopRelease(OperatorCommand, tag="stop_release", kw_only=True):
--- a/cicadawheel/control/command_service.py
+++ b/cicadawheel/control/command_service.py
@@ -3,11 +3,13 @@
 import hashlib
 import logging
 import uuid
+from collections.abc import Callable
 
 from msgspec.structs import replace
 
 from cicadawheel.configuration import (
     Configuration,
+    DataCentreState,
     HostRoute,
     ReleaseRule,
     ReleaseState,
@@ -17,14 +19,23 @@
 from cicadawheel.control.command import (
     ANY_REVISION,
     AnyCommand,
+    OperatorCommand,
     Outcome,
     OutcomeState,
     PutDocument,
+    SetDataCentre,
     StartRelease,
 )
+from cicadawheel.control.sender import confirm_sender_waits
 from cicadawheel.control.server import ControlServer
-from cicadawheel.errors import NoQuorumError
-from cicadawheel.ids import OperationId, ServiceName, VersionName
+from cicadawheel.errors import NoQuorumError, StaleCommandError
+from cicadawheel.ids import (
+    DataCentreName,
+    OperationId,
+    Revision,
+    ServiceName,
+    VersionName,
+)
 from cicadawheel.logs import log_event
 
 log = logging.getLogger(__name__)
@@ -127,6 +138,45 @@
         await self.server.log.confirm_read()
         return self.server.state.documents.document
 
+    async def set_data_centre(
+        self,
+        data_centre: DataCentreName,
+        state: DataCentreState,
+        is_abandoned: Callable[[], bool],
+    ) -> Outcome:
+        """Take a data centre out, or bring it back in.
+
+        ``is_abandoned`` returns whether the sender has left.
+
+        Raises
+        ------
+        StaleCommandError
+            The sender has left, or the data centre has changed state since the command
+            arrived.
+        NotLeaderError, NoQuorumError
+            As `propose`.
+        """
+        rule = self.server.state.configuration.data_centres.get(data_centre)
+        known_revision = Revision(0) if rule is None else rule.state_revision
+        await confirm_sender_waits(self.server.log, is_abandoned)
+        command = SetDataCentre(
+            now_ms=0,
+            operation=OperationId(uuid.uuid4().hex),
+            expected_revision=ANY_REVISION,
+            data_centre=data_centre,
+            state=state,
+            force=True,
+            expected_state_revision=known_revision,
+        )
+        return await self._propose_once(command)
+
+    async def _propose_once(self, command: OperatorCommand) -> Outcome:
+        """Commit a command unless a later one has replaced what it expects."""
+        outcome = await self.propose(command)
+        if outcome.state is OutcomeState.CONFLICT:
+            raise StaleCommandError(outcome.message, step="propose")
+        return outcome
+
     def is_settled(self, release: ReleaseRule) -> bool:
         """Return whether the upstreams of the old version can be stopped."""
         if release.state is not ReleaseState.DONE:
@@ -156,17 +206,26 @@
         return int(max(duration_ms / 2, duration_ms - settle_ms))
 
     async def start_release(
-        self, service: ServiceName, version: VersionName, duration_ms: float
+        self,
+        service: ServiceName,
+        version: VersionName,
+        duration_ms: float,
+        is_abandoned: Callable[[], bool],
     ) -> Outcome:
         """Start a release, unless the same release was started recently.
 
+        ``is_abandoned`` returns whether the sender has left.
+
         Raises
         ------
+        StaleCommandError
+            The sender has left, or another release was started meanwhile.
         NotLeaderError, NoQuorumError
             As `propose`.
         """
         now_ms = self.server.clock.unix_ms()
-        known = await self.release(service)
+        await confirm_sender_waits(self.server.log, is_abandoned)
+        known = self.server.state.configuration.release_of(service)
         is_same = known is not None and known.version == version
         if is_same and now_ms - known.started_at_ms < max(RETRY_WINDOW_MS, duration_ms):
             revision = self.server.state.configuration.revision
@@ -180,5 +239,6 @@
             service=service,
             version=version,
             deadline_at_ms=now_ms + self._rollout_time_ms(duration_ms),
+            expected_start_ms=0 if known is None else known.started_at_ms,
         )
-        return await self.propose(command)
+        return await self._propose_once(command)
--- a/cicadawheel/control/operators.py
+++ b/cicadawheel/control/operators.py
@@ -19,9 +19,15 @@
 from cicadawheel.control.metrics import ControlMetrics
 from cicadawheel.control.replicas import change_replicas
 from cicadawheel.control.replication import ReplicatedLog
+from cicadawheel.control.sender import confirm_sender_waits
 from cicadawheel.control.server import ControlServer
 from cicadawheel.control.state import ControlState
-from cicadawheel.errors import CicadawheelError, NoQuorumError, NotLeaderError
+from cicadawheel.errors import (
+    CicadawheelError,
+    NoQuorumError,
+    NotLeaderError,
+    StaleCommandError,
+)
 from cicadawheel.http.exchange import (
     Handler,
     HttpAnswer,
@@ -110,7 +116,7 @@
                 return self._metrics()
         except NotLeaderError as error:
             return text_answer(f"{error}\n", STATUS_NOT_LEADER)
-        except NoQuorumError as error:
+        except (NoQuorumError, StaleCommandError) as error:
             return text_answer(f"{error}\n", STATUS_NO_QUORUM)
         return text_answer(f"nothing is at {request.method} {request.path}\n", 404)
 
@@ -121,6 +127,7 @@
 
     async def _change_replicas(self, request: HttpRequest) -> HttpAnswer:
         change = msgspec.json.decode(request.body, type=ReplicaChange)
+        await confirm_sender_waits(self.daemon.server.log, request.is_abandoned)
         revision = self.daemon.state.configuration.revision
         outcome = await change_replicas(self.daemon.durable_log, change, revision)
         log_event(
@@ -168,6 +175,7 @@
         now_ms = self.daemon.server.clock.unix_ms()
         command = msgspec.structs.replace(command, now_ms=now_ms)
         try:
+            await confirm_sender_waits(self.daemon.server.log, request.is_abandoned)
             outcome = await self._check_capacity(command)
             if outcome is None:
                 outcome = await self.daemon.server.log.propose(command)
--- a/cicadawheel/control/state/changes.py
+++ b/cicadawheel/control/state/changes.py
@@ -12,6 +12,8 @@
     ServiceRule,
 )
 from cicadawheel.control.command import (
+    ANY_RELEASE,
+    ANY_REVISION,
     ApplyConfiguration,
     OperatorCommand,
     SetDataCentre,
@@ -20,15 +22,54 @@
 )
 from cicadawheel.control.state.releases import start_release, stop_release
 from cicadawheel.errors import CommandRefusedError
-from cicadawheel.ids import DataCentreName, ServiceName, VersionName
-from cicadawheel.release.plan import deadline_warning
+from cicadawheel.ids import DataCentreName, Revision, ServiceName, VersionName
+from cicadawheel.release.plan import ACTIVE_STATES, deadline_warning
+
+
+def has_taken_effect(current: Configuration, command: OperatorCommand) -> bool:
+    """Return whether another copy of a command has done what it asks for.
+
+    Commands that expect nothing are not compared.
+    """
+    match command:
+        case SetDataCentre() if command.expected_state_revision != ANY_REVISION:
+            rule = current.data_centres.get(command.data_centre)
+            return rule is not None and rule.state is command.state
+        case StartRelease() if command.expected_start_ms != ANY_RELEASE:
+            release = current.release_of(command.service)
+            return (
+                release is not None
+                and release.started_at_ms != command.expected_start_ms
+                and release.version == command.version
+                and release.state in ACTIVE_STATES
+            )
+    return False
+
+
+def is_superseded(current: Configuration, command: OperatorCommand) -> bool:
+    """Return whether what a command expects to replace was replaced before."""
+    match command:
+        case SetDataCentre() if command.expected_state_revision != ANY_REVISION:
+            rule = current.data_centres.get(command.data_centre)
+            newest = Revision(0) if rule is None else rule.state_revision
+            return newest != command.expected_state_revision
+        case StartRelease() if command.expected_start_ms != ANY_RELEASE:
+            release = current.release_of(command.service)
+            started_at_ms = 0 if release is None else release.started_at_ms
+            return started_at_ms != command.expected_start_ms
+    return False
 
 
 def change_configuration(
-    current: Configuration, command: OperatorCommand, members: Iterable[Member]
+    current: Configuration,
+    command: OperatorCommand,
+    members: Iterable[Member],
+    revision: Revision,
 ) -> Configuration:
     """Return the configuration after an operator command.
 
+    ``revision`` is the one that the changed configuration gets.
+
     Raises
     ------
     CommandRefusedError
@@ -38,7 +79,7 @@
         case ApplyConfiguration():
             return apply_rules(current, command.configuration, members)
         case SetDataCentre():
-            return set_data_centre(current, command, members)
+            return set_data_centre(current, command, members, revision)
         case StartRelease():
             return start_release(current, command)
         case StopRelease():
@@ -116,7 +157,10 @@
 
 
 def set_data_centre(
-    current: Configuration, command: SetDataCentre, members: Iterable[Member]
+    current: Configuration,
+    command: SetDataCentre,
+    members: Iterable[Member],
+    revision: Revision,
 ) -> Configuration:
     """Return the configuration with a data centre taken out or brought back in.
 
@@ -135,8 +179,9 @@
             f"data centre {command.data_centre} is unknown; known: {known}",
             step="data centre",
         )
-    changed = replace(rule, state=command.state)
-    data_centres = {**current.data_centres, command.data_centre: changed}
+    if rule.state is not command.state:
+        rule = replace(rule, state=command.state, state_revision=revision)
+    data_centres = {**current.data_centres, command.data_centre: rule}
     after = replace(current, data_centres=data_centres)
     if command.state is DataCentreState.OUT and not command.force:
         _check_served(command.data_centre, after, tuple(members))
@@ -179,6 +224,8 @@
         if rule.state is DataCentreState.OUT
     }
     for name, rule in wanted.items():
-        state = current[name].state if name in current else rule.state
-        kept[name] = replace(rule, state=state)
+        known = current.get(name, rule)
+        kept[name] = replace(
+            rule, state=known.state, state_revision=known.state_revision
+        )
     return kept
--- a/cicadawheel/control/state/machine.py
+++ b/cicadawheel/control/state/machine.py
@@ -28,6 +28,8 @@
     change_configuration,
     change_warning,
     describe_change,
+    has_taken_effect,
+    is_superseded,
     set_initial_versions,
 )
 from cicadawheel.control.state.claims import ClaimTable
@@ -136,15 +138,26 @@
             return first
         revision = self.configuration.revision
         outcome = self._operations.conflict(command, revision)
+        if outcome is None:
+            outcome = self._find_earlier_copy(command)
         if outcome is None:
             outcome = self._apply_change(index, command)
         self._operations.record(command, outcome)
         return outcome
 
+    def _find_earlier_copy(self, command: OperatorCommand) -> Outcome | None:
+        """Return the outcome of a copy that arrives after another one, or None."""
+        if has_taken_effect(self.configuration, command):
+            return self._done("it has taken effect before")
+        if is_superseded(self.configuration, command):
+            text = "the state has changed since the command was sent"
+            return Outcome(OutcomeState.CONFLICT, self.configuration.revision, text)
+        return None
+
     def _apply_change(self, index: LogIndex, command: OperatorCommand) -> Outcome:
         try:
             changed = change_configuration(
-                self.configuration, command, self.members.values()
+                self.configuration, command, self.members.values(), Revision(index)
             )
         except CommandRefusedError as refusal:
             return self._refused(refusal)
--- a/cicadawheel/errors.py
+++ b/cicadawheel/errors.py
@@ -46,6 +46,10 @@
     """Control rejected an operator's command."""
 
 
+class StaleCommandError(CicadawheelError):
+    """A command was not run, as its sender may have sent it elsewhere since."""
+
+
 class PeerError(CicadawheelError):
     """The remote process failed or violated the protocol."""
 
--- a/cicadawheel/http/exchange.py
+++ b/cicadawheel/http/exchange.py
@@ -26,13 +26,22 @@
 TEXT_TYPE = "text/plain; charset=utf-8"
 
 
+def _never_abandoned() -> bool:
+    return False
+
+
 class HttpRequest(msgspec.Struct, frozen=True):
-    """A complete request."""
+    """A complete request.
+
+    ``is_abandoned`` returns whether the client has closed its connection, so that it
+    no longer waits for the response and may have sent the request elsewhere.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    is_abandoned: Callable[[], bool] = _never_abandoned
 
     @property
     def path(self) -> str:
@@ -178,7 +187,7 @@
             return
         if head is None:
             return
-        answer = await _run_handler(handler, head, content)
+        answer = await _run_handler(handler, head, content, lambda: _has_ended(reader))
         writer.write(_encode_answer(connection, answer))
         await writer.drain()
         if connection.our_state is not h11.DONE:
@@ -188,13 +197,22 @@
         connection.start_next_cycle()
 
 
+def _has_ended(reader: asyncio.StreamReader) -> bool:
+    """Return whether the client has closed or reset its connection."""
+    return reader.at_eof() or reader.exception() is not None
+
+
 async def _run_handler(
-    handler: Handler, head: h11.Request, content: bytes
+    handler: Handler,
+    head: h11.Request,
+    content: bytes,
+    is_abandoned: Callable[[], bool],
 ) -> HttpAnswer:
     headers = {key.decode(): value.decode("latin-1") for key, value in head.headers}
     method, target = head.method.decode(), head.target.decode("latin-1")
     try:
-        return await handler(HttpRequest(method, target, headers, content))
+        request = HttpRequest(method, target, headers, content, is_abandoned)
+        return await handler(request)
     except msgspec.ValidationError as error:
         return text_answer(f"the body can't be used: {error}\n", 400)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
--- a/cicadawheel/platform/control.py
+++ b/cicadawheel/platform/control.py
@@ -1,18 +1,12 @@
 """The platform's operator calls, as served by a control replica."""
 
 import logging
-import uuid
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 
 from cicadawheel.configuration import DataCentreState, ReleaseHabits, ReleaseState
-from cicadawheel.control.command import (
-    ANY_REVISION,
-    Outcome,
-    OutcomeState,
-    SetDataCentre,
-)
+from cicadawheel.control.command import Outcome, OutcomeState
 from cicadawheel.control.command_service import CommandService
 from cicadawheel.control.daemon import ControlDaemon
 from cicadawheel.control.operators import OperatorServer
@@ -20,6 +14,7 @@
     CommandRefusedError,
     NoQuorumError,
     NotLeaderError,
+    StaleCommandError,
 )
 from cicadawheel.http.exchange import (
     Handler,
@@ -28,7 +23,7 @@
     json_answer,
     text_answer,
 )
-from cicadawheel.ids import DataCentreName, OperationId, ServiceName, VersionName
+from cicadawheel.ids import DataCentreName, ServiceName, VersionName
 from cicadawheel.logs import log_event
 from cicadawheel.platform.bodies import Seconds, decode_body
 from cicadawheel.platform.document import decode_document
@@ -110,7 +105,7 @@
             return await handler(request, query.get("of", [""])[0])
         except CommandRefusedError as error:
             return text_answer(f"{error}\n", BAD_REQUEST)
-        except (NotLeaderError, NoQuorumError) as error:
+        except (NotLeaderError, NoQuorumError, StaleCommandError) as error:
             log_event(log, "command_failed", operation=call_name, reason=error)
             return text_answer(f"{error}\n", SERVICE_UNAVAILABLE)
 
@@ -146,6 +141,7 @@
             ServiceName(rollout.service),
             VersionName(rollout.target_version),
             rollout.duration_s * MS_PER_S,
+            request.is_abandoned,
         )
         return _outcome_answer(outcome)
 
@@ -159,23 +155,20 @@
         return json_answer(RolloutState(state, release.version))
 
     async def _start_evacuation(self, request: HttpRequest, target: str) -> HttpAnswer:
-        return await self._set_data_centre(target, DataCentreState.OUT)
+        return await self._set_data_centre(request, target, DataCentreState.OUT)
 
     async def _end_evacuation(self, request: HttpRequest, target: str) -> HttpAnswer:
-        return await self._set_data_centre(target, DataCentreState.IN)
+        return await self._set_data_centre(request, target, DataCentreState.IN)
 
-    async def _set_data_centre(self, target: str, state: DataCentreState) -> HttpAnswer:
+    async def _set_data_centre(
+        self, request: HttpRequest, target: str, state: DataCentreState
+    ) -> HttpAnswer:
         if target not in self.data_centres:
             return text_answer(f"no zone {target}\n", NOT_FOUND)
-        command = SetDataCentre(
-            now_ms=0,
-            operation=OperationId(uuid.uuid4().hex),
-            expected_revision=ANY_REVISION,
-            data_centre=DataCentreName(target),
-            state=state,
-            force=True,
+        outcome = await self.orders.set_data_centre(
+            DataCentreName(target), state, request.is_abandoned
         )
-        return _outcome_answer(await self.orders.propose(command))
+        return _outcome_answer(outcome)
 
 
 def _outcome_answer(outcome: Outcome) -> HttpAnswer:
--- a/test/test_state.py
+++ b/test/test_state.py
@@ -93,12 +93,14 @@
     only_west = msgspec.structs.replace(rules, data_centres=distances)
     driver.operate(ApplyConfiguration, "op-a", configuration=rules)
     before = driver.state.configuration.data_centres["east"]
-    take_out(driver, "op-b")
+    revision = take_out(driver, "op-b").revision
+    expected = msgspec.structs.replace(
+        before, state=DataCentreState.OUT, state_revision=revision
+    )
     for operation in ("op-c", "op-d"):
         driver.operate(ApplyConfiguration, operation, configuration=only_west)
         driver.restart()
-        after = driver.state.configuration.data_centres["east"]
-        assert after == msgspec.structs.replace(before, state=DataCentreState.OUT)
+        assert driver.state.configuration.data_centres["east"] == expected
     brought_back = driver.operate(
         SetDataCentre, "op-e", data_centre="east", state=DataCentreState.IN
     )
