Control drops registrations and claims of nodes that have left it

It registered the node's upstream as it was then, also if that had left since, and opened claims that were settled meanwhile. Leaves, ends of claims and leases name their epoch or attempt and stay as they are.

--- a/cicadawheel/control/session.py
+++ b/cicadawheel/control/session.py
@@ -39,6 +39,7 @@
     View,
     ViewDelta,
 )
+from cicadawheel.control.sender import confirm_sender_waits
 from cicadawheel.control.state import ControlState
 from cicadawheel.control.state.membership import MembersDelta
 from cicadawheel.errors import CicadawheelError, PeerError
@@ -210,9 +211,16 @@
             self._sent_configuration = state.configuration
             self._sent_quarantined = self.server.quarantined()
 
+    async def _confirm_connected(self) -> None:
+        """Confirm that state is current and that the node is still connected.
+
+        A node that has left may have registered elsewhere since it sent its message.
+        """
+        await confirm_sender_waits(self.server.log, lambda: not self._stream.is_open())
+
     async def _register(self, renewal: Renewal) -> None:
         try:
-            await self.server.log.confirm_read()
+            await self._confirm_connected()
             known = self.server.state.members.get(renewal.node)
             if known is not None and _is_registered(known, renewal):
                 self._stream.send(Registered(known.epoch))
@@ -237,7 +245,13 @@
             self._registering = False
 
     async def _handle(self, message: NodeToControl) -> None:
-        if isinstance(message, (ClaimOpen, ClaimFinish, ClaimRelease)):
+        if isinstance(message, ClaimOpen):
+            # A node that has left may have settled this claim elsewhere. The end of
+            # its stream is read after the message.
+            await asyncio.sleep(0)
+            if self._stream.is_open():
+                await self._answer_claim(message)
+        elif isinstance(message, (ClaimFinish, ClaimRelease)):
             await self._answer_claim(message)
         elif isinstance(message, Leaving):
             await self.server.log.propose(
