An upstream that has deregistered stays out of use

Cause: the gate reopens at an announcement if it had closed for silence, and leaving did not end that state. Excluded: the order of heartbeats; the late one has a higher number than the last accepted.

Change: leaving ends the wait for an announcement, and the node remembers which boots have left, so that the gate isn't the only place that knows.

--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -170,6 +170,8 @@
         ):
             return False
         log_event(log, "upstream_leaving", upstream=upstream, boot=boot)
+        # A later announcement reopens a gate that has lapsed, but not one that left.
+        self._lapsed = False
         self._apply_decisions(self.admission.close(RefusalReason.LEAVING))
         return True
 
--- a/cicadawheel/node/announcement_filter.py
+++ b/cicadawheel/node/announcement_filter.py
@@ -1,17 +1,26 @@
-"""Discards numbered announcements that arrive out of order."""
+"""Discards announcements that arrive after newer ones or after the upstream left."""
 
-from cicadawheel.announcement import Announcement
+from collections import OrderedDict
+
+from cicadawheel.announcement import Announcement, Leave
+from cicadawheel.ids import BootId, UpstreamId
+
+DEPARTURE_LIMIT = 1_000
+"""Number of departures remembered; one VM rarely runs more upstreams in a day."""
 
 
 class AnnouncementFilter:
-    """Remembers the newest accepted announcement and rejects older ones.
+    """Remembers the newest accepted announcement, and the upstreams that left.
 
-    The boot id is the start time of the upstream in milliseconds, so a delayed
-    announcement that arrives after the upstream has restarted is ignored.
+    The boot id of a numbered announcement is the start time of the upstream in
+    milliseconds, so a delayed announcement that arrives after the upstream has
+    restarted is ignored.
     """
 
     def __init__(self):
         self._newest = (0, "", 0)
+        self._left: OrderedDict[tuple[UpstreamId, BootId], None] = OrderedDict()
+        self._left_at_unix_ms: OrderedDict[UpstreamId, int] = OrderedDict()
 
     def accept(self, announcement: Announcement, number: int) -> bool:
         """Accept an announcement and return true if it is newer than all before."""
@@ -24,3 +33,23 @@
             return False
         self._newest = (boot_ms, announcement.upstream, number)
         return True
+
+    def leave(self, leave: Leave, now_unix_ms: int) -> None:
+        """Record that an upstream has left, whether it is known or not.
+
+        A leave without a boot id ends all boots of the upstream that started before.
+        """
+        if leave.boot:
+            self._left[leave.upstream, leave.boot] = None
+        else:
+            self._left_at_unix_ms[leave.upstream] = now_unix_ms
+        for departures in (self._left, self._left_at_unix_ms):
+            if len(departures) > DEPARTURE_LIMIT:
+                departures.popitem(last=False)
+
+    def has_left(self, announcement: Announcement) -> bool:
+        """Return whether the announced boot of an upstream has left before."""
+        if (announcement.upstream, announcement.boot) in self._left:
+            return True
+        left_at_unix_ms = self._left_at_unix_ms.get(announcement.upstream, 0)
+        return 0 < announcement.started_unix_ms <= left_at_unix_ms
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -166,7 +166,13 @@
         self.gate.guard.peers = ServicePeers(self.gate, self.links, self.control)
 
     def announce(self, announcement: Announcement) -> None:
-        """Record the node's own upstream and register it with control."""
+        """Record the node's own upstream and register it with control.
+
+        An announcement that arrives after its upstream has left is ignored.
+        """
+        if self._announcement_filter.has_left(announcement):
+            log_event(log, "announcement_late", upstream=announcement.upstream)
+            return
         self.announced_at_ms = self.clock.now_ms()
         self.gate.announce(announcement)
         self._update_gate_count()
@@ -210,7 +216,11 @@
         self.entry.caller_service = settings.node.service
 
     def handle_leave(self, leave: Leave) -> bool:
-        """Stop sending to the upstream; return whether it is the announced one."""
+        """Stop sending to an upstream for good, also if it announces itself later.
+
+        Returns whether it is the announced one.
+        """
+        self._announcement_filter.leave(leave, self.clock.unix_ms())
         if not self.gate.leave(leave.upstream, leave.boot):
             return False
         self.control.leave()
