A response in tiny chunks no longer holds up all other work of a node

Looked for after a report of another operator: an upstream that sends bytes without end, until the node runs out of memory.

Found beside it: chunks of one byte are parsed 40,000 at a time. In a trial with allocations traced, the event loop stood still for 4.1 s, long enough for other nodes to take this one for silent and to break off its calls.

Change: at most 200 events of a response are handled in one turn of the loop; reading waits until the last turn.

test_tiny_chunks_leave_other_work_its_turn can't be imported on the code before. Requests of callers are still parsed in one turn; not changed here.

--- a/cicadawheel/http/upstream.py
+++ b/cicadawheel/http/upstream.py
@@ -37,6 +37,9 @@
 REFUSED_REQUEST_LIMIT = 64
 # Most interim (1xx) responses before the final one; upstreams normally send one or two.
 INTERIM_RESPONSE_LIMIT = 16
+# Most events of the parser that are handled in one turn of the event loop. One read can
+# hold tens of thousands of tiny chunks, which would delay all other work.
+EVENTS_PER_TURN = 200
 
 
 class ExchangeEnd(Enum):
@@ -104,6 +107,7 @@
         self._transport: asyncio.Transport | None = None
         self._received_head = False
         self._reading = True
+        self._turn_pending = False
         self._discarding = False
         self._discarded_bytes = 0
         self._interim_responses = 0
@@ -194,15 +198,21 @@
 
     def pause(self) -> None:
         """Pause reading of the response."""
-        if self._reading and self.is_open:
-            self._reading = False
-            self._transport.pause_reading()
+        self._reading = False
+        self._update_reading()
 
     def resume(self) -> None:
         """Resume reading of the response."""
-        if not self._reading and self.is_open:
-            self._reading = True
+        self._reading = True
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        if not self.is_open:
+            return
+        if self._reading and not self._turn_pending:
             self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
 
     def cancel(self) -> None:
         """Abort the connection, which signals the upstream to stop processing."""
@@ -219,10 +229,36 @@
         """Parse received bytes and handle the resulting events."""
         try:
             self._http.receive_data(data)
-            while self.owner is not None and self._process_event():
-                pass
+            self._process_turn()
         except h11.RemoteProtocolError:
             self._fail(ExchangeEnd.MALFORMED)
+        self._check_idle()
+
+    def _process_turn(self) -> None:
+        """Handle the events of one turn, and schedule the next one if there are more.
+
+        Nothing is read until the last turn has ended.
+        """
+        self._turn_pending = False
+        for _ in range(EVENTS_PER_TURN):
+            if self.owner is None or not self._process_event():
+                break
+        else:
+            self._turn_pending = True
+            asyncio.get_running_loop().call_soon(self._next_turn)
+        self._update_reading()
+
+    def _next_turn(self) -> None:
+        # The end of the connection handles the rest at once.
+        if self._transport is None:
+            return
+        try:
+            self._process_turn()
+        except h11.RemoteProtocolError:
+            self._fail(ExchangeEnd.MALFORMED)
+        self._check_idle()
+
+    def _check_idle(self) -> None:
         if self.owner is None and self._http.their_state is h11.IDLE:
             self._abort_on_unsolicited_data()
 
@@ -247,6 +283,7 @@
             self.owner.upstream_writable()
 
     def _process_eof(self) -> None:
+        self._turn_pending = False
         try:
             self._http.receive_data(b"")
             while self.owner is not None and self._process_event():
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -91,6 +91,13 @@
         pytest.param(
             "HTTP/1.1 421 X\r\nAttempt-Id: r\r\n\r\n", BLOCK, id="another upstream"
         ),
+        pytest.param("", b"no answer\r\n" * 6_000, id="lines"),
+        pytest.param("", b"\r\n" * 30_000, id="empty lines"),
+        pytest.param(
+            "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+            BLOCK,
+            id="other protocol",
+        ),
     ],
 )
 def test_endless_invalid_response_ends_the_call(head, piece):
@@ -102,6 +109,23 @@
     assert upstream.sent_bytes < READ_LIMIT_BYTES
 
 
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        pytest.param("", b"1" * 65_536, id="size of a chunk"),
+        pytest.param("1;x=", b"y" * 65_536, id="extension of a chunk"),
+        pytest.param("0\r\n", b"X-Y: z\r\n" * 8_000, id="trailers"),
+    ],
+)
+def test_endless_framing_breaks_the_answer_off(start, piece):
+    head = f"HTTP/1.1 200 OK\r\n{OWN_FIELDS}Transfer-Encoding: chunked\r\n\r\n"
+    upstream = EndlessUpstream(head + start, piece)
+    messages = asyncio.run(run_call(upstream, has_ended))
+    assert [type(message) for message in messages] == [ReplyHead, Refused]
+    assert not messages[1].not_run
+    assert upstream.sent_bytes < READ_LIMIT_BYTES
+
+
 def test_endless_health_response_is_cut_off_and_requested_again():
     upstream = EndlessUpstream("HTTP/1.1 200 OK\r\nBackend-Load: 1,0,4\r\n\r\n", BLOCK)
     reports = []
--- a/test/test_upstream_answers.py
+++ b/test/test_upstream_answers.py
@@ -6,7 +6,11 @@
 
 from cicadawheel.gate.health import read_health
 from cicadawheel.http.fields import ResponseHead, find_field
-from cicadawheel.http.upstream import ExchangeEnd, UpstreamConnection
+from cicadawheel.http.upstream import (
+    EVENTS_PER_TURN,
+    ExchangeEnd,
+    UpstreamConnection,
+)
 from cicadawheel.platform.headers import PLATFORM_DIALECT
 
 ID = b"attempt-id"
@@ -19,6 +23,7 @@
         super().__init__()
         self.written = b""
         self.aborted = False
+        self.reading = True
 
     def get_extra_info(self, name, default=None):
         return FakeSocket() if name == "socket" else default
@@ -34,8 +39,11 @@
     def is_closing(self):
         return self.aborted
 
+    def pause_reading(self):
+        self.reading = False
+
     def resume_reading(self):
-        pass
+        self.reading = True
 
 
 class FakeSocket:
@@ -204,3 +212,44 @@
 def test_health_response_without_valid_fields_gives_no_values(headers):
     report = read_health(ResponseHead(503, headers), PLATFORM_DIALECT)
     assert (report.healthy, report.load, report.cold_ms) == (False, None, None)
+
+
+@pytest.mark.parametrize("size", [1, EVENTS_PER_TURN - 1, EVENTS_PER_TURN, 5_000])
+def test_tiny_chunks_leave_other_work_its_turn(size):
+    # One read of tiny chunks held the loop for seconds: every other call was late.
+    async def run():
+        made = UpstreamConnection(lambda _: None)
+        transport = RecordingTransport()
+        made.connection_made(transport)
+        owner = send(made, "r")
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        made.data_received(head + b"1\r\nx\r\n" * size + b"0\r\n\r\n")
+        seen = 0
+        while owner.ended is None:
+            assert len(owner.body) - seen <= EVENTS_PER_TURN
+            assert not transport.reading
+            seen = len(owner.body)
+            await asyncio.sleep(0)
+        return owner, transport
+
+    owner, transport = asyncio.run(run())
+    assert (owner.ended, len(owner.body)) == ("whole", size)
+    assert transport.reading
+
+
+def test_owner_that_pauses_is_read_no_faster_between_turns():
+    async def run():
+        made = UpstreamConnection(lambda _: None)
+        transport = RecordingTransport()
+        made.connection_made(transport)
+        send(made, "r")
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        made.data_received(head + b"1\r\nx\r\n" * (EVENTS_PER_TURN + 50))
+        made.pause()
+        for _ in range(3):
+            await asyncio.sleep(0)
+            assert not transport.reading
+        made.resume()
+        return transport.reading
+
+    assert asyncio.run(run())
