A caller that sends on while it waits is read only to a limit

The same class as bytes without end from an upstream, at the other edge: what a caller sends after a request is not parsed until the answer, and all of it was kept. Reading pauses at 64 KiB; the answer resumes it.

test_caller_that_sends_on_without_end_is_read_only_to_a_limit failed before.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -28,6 +28,8 @@
 # How long the rest of a request body is read and discarded after an early response.
 # Closing a socket with unread data resets it, and the caller could lose the response.
 LINGER_TIMEOUT_S = 2.0
+# Reading pauses if more than this arrives after a request that isn't answered yet.
+PIPELINE_LIMIT_BYTES = 65_536
 REQUEST_TIMEOUT_STATUS = 408
 CONTENT_TOO_LARGE_STATUS = 413
 NOT_IMPLEMENTED_STATUS = 501
@@ -128,9 +130,16 @@
                 self._transport.close()
             return
         self._process_events()
+        self._limit_pipelining()
         if self.state is ConnectionState.IDLE and self._head_started_s is None:
             self._head_started_s = asyncio.get_running_loop().time()
 
+    def _limit_pipelining(self) -> None:
+        if self._owner is None or self._http.their_state is not h11.DONE:
+            return
+        if len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
+            self._transport.pause_reading()
+
     def check_timeouts(self, now_s: float) -> None:
         """Close the connection if it has exceeded a head, idle or linger timeout."""
         if self._transport is None:
--- a/test/test_entry_calls.py
+++ b/test/test_entry_calls.py
@@ -91,6 +91,23 @@
     on_site(work)
 
 
+def test_caller_that_sends_on_without_end_is_read_only_to_a_limit(on_site):
+    # All that came after a request was kept in memory until its answer.
+    async def work(site):
+        async with Caller(site.nodes[0]) as caller:
+            caller.send("GET", "/hold")
+            await until(lambda: total(site, "held") == 1)
+            caller.writer.write(bytes(40_000_000))
+            transport = caller.writer.transport
+            await until_steady(transport.get_write_buffer_size)
+            assert transport.get_write_buffer_size() > 20_000_000
+            for upstream in site.upstreams:
+                upstream.release()
+            assert (await caller.answer())[0] == 200
+
+    on_site(work)
+
+
 def test_expect_continue_is_answered_before_the_body(on_site):
     async def work(site):
         async with Caller(site.nodes[0]) as caller:
