A restarted node knows that its upstream had left

A node that was killed after it had acknowledged a deregistration, or that the upstream drains, took a heartbeat from before for that of a new upstream.

It registers that boot as leaving whatever the node was told, and the node closes its gate when its view says so. The upstream's leave is acknowledged once control knows it, or with 503 after 700 ms: an upstream waits a second and sends again. A leave for silence or a planned stop of the node stays as it was. Epochs don't change by a leave, so claims of the node's callers are not fenced.

Weighed: asking the upstream's health before the first call of a gate. It needs no state, but a good upstream whose health check fails would stay out.

--- a/cicadawheel/configuration.py
+++ b/cicadawheel/configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cicadawheel.ids import (
+    BootId,
     DataCentreName,
     Epoch,
     NodeId,
@@ -209,7 +210,8 @@
     """One upstream and its node, as registered with control.
 
     ``epoch`` is the log index of the registration. A later registration of the same
-    node or upstream replaces this one.
+    node or upstream replaces this one. ``departed_boot`` is set once the upstream has
+    left for good, to the boot that has left.
     """
 
     node: NodeId
@@ -223,6 +225,7 @@
     connections: int
     epoch: Epoch = Epoch(0)
     leaving: bool = False
+    departed_boot: BootId = BootId("")
 
 
 def find_route(service: ServiceRule, method: str, path: str) -> RouteRule | None:
--- a/cicadawheel/control/command.py
+++ b/cicadawheel/control/command.py
@@ -16,6 +16,7 @@
     ReleaseState,
 )
 from cicadawheel.ids import (
+    BootId,
     DataCentreName,
     Epoch,
     Fingerprint,
@@ -120,9 +121,13 @@
 
 
 class RegisterMember(Command, tag="register", kw_only=True):
-    """Registers a node's upstream, or replaces its earlier registration."""
+    """Registers a node's upstream, or replaces its earlier registration.
+
+    ``boot`` is that of the upstream. One that has departed is registered as leaving.
+    """
 
     member: Member
+    boot: BootId = BootId("")
 
 
 class ExpireMembers(Command, tag="expire", kw_only=True):
@@ -132,10 +137,14 @@
 
 
 class LeaveMember(Command, tag="leave", kw_only=True):
-    """Marks a member as leaving: it takes no new work."""
+    """Marks a member as leaving: it takes no new work.
+
+    ``departed_boot`` is the boot of its upstream if that has left for good.
+    """
 
     node: NodeId
     epoch: Epoch
+    departed_boot: BootId = BootId("")
 
 
 class OpenClaim(Command, tag="claim", kw_only=True):
--- a/cicadawheel/control/messages.py
+++ b/cicadawheel/control/messages.py
@@ -9,6 +9,7 @@
 from cicadawheel.control.command import Outcome
 from cicadawheel.control.lease import NodeLoad
 from cicadawheel.ids import (
+    BootId,
     Epoch,
     Fingerprint,
     IdempotencyKey,
@@ -25,7 +26,8 @@
 
     ``member`` is set when the registration is new or has changed. ``epoch`` is that
     of the registration, 0 before the first one. ``load`` is the load of the node's
-    gate, and ``index`` the log index of the node's view.
+    gate, and ``index`` the log index of the node's view. ``boot`` is that of the
+    upstream that ``member`` registers.
     """
 
     node: NodeId
@@ -34,12 +36,17 @@
     index: LogIndex = LogIndex(0)
     member: Member | None = None
     load: NodeLoad | None = None
+    boot: BootId = BootId("")
 
 
 class Registered(Message, tag="registered"):
-    """Confirms that the node's registration is durable."""
+    """Confirms that the node's registration is durable.
+
+    ``departed_boot`` is that of the registered member.
+    """
 
     epoch: Epoch
+    departed_boot: BootId = BootId("")
 
 
 class RegisterAgain(Message, tag="again"):
@@ -47,10 +54,14 @@
 
 
 class Leaving(Message, tag="leaving"):
-    """Reports that the node's upstream takes no new work."""
+    """Reports that the node's upstream takes no new work.
+
+    ``departed_boot`` is the boot of the upstream if it has left for good.
+    """
 
     node: NodeId
     epoch: Epoch
+    departed_boot: BootId = BootId("")
 
 
 class View(Message, tag="view"):
--- a/cicadawheel/control/session.py
+++ b/cicadawheel/control/session.py
@@ -223,11 +223,13 @@
             await self._confirm_connected()
             known = self.server.state.members.get(renewal.node)
             if known is not None and _is_registered(known, renewal):
-                self._stream.send(Registered(known.epoch))
+                self._stream.send(Registered(known.epoch, known.departed_boot))
                 await self._send_first_view()
                 return
             command = RegisterMember(
-                now_ms=self.server.clock.unix_ms(), member=renewal.member
+                now_ms=self.server.clock.unix_ms(),
+                member=renewal.member,
+                boot=renewal.boot,
             )
             outcome = await self.server.log.propose(command)
             if outcome.state is not OutcomeState.DONE:
@@ -239,7 +241,8 @@
                 )
                 return
             if self._stream.is_open():
-                self._stream.send(Registered(outcome.epoch))
+                departed_boot = renewal.member.departed_boot
+                self._stream.send(Registered(outcome.epoch, departed_boot))
             await self._send_first_view()
         finally:
             self._registering = False
@@ -259,6 +262,7 @@
                     now_ms=self.server.clock.unix_ms(),
                     node=message.node,
                     epoch=message.epoch,
+                    departed_boot=message.departed_boot,
                 )
             )
         elif isinstance(message, SuspectReport):
--- a/cicadawheel/control/state/machine.py
+++ b/cicadawheel/control/state/machine.py
@@ -197,7 +197,7 @@
         return self._done(text)
 
     def _register(self, index: LogIndex, command: RegisterMember) -> Outcome:
-        member = self._members.register(index, command.member)
+        member = self._members.register(index, command.member, command.boot)
         self.claims.fence(member.node)
         self.view_revision = index
         initialised = set_initial_versions(self.configuration, [member])
@@ -215,7 +215,10 @@
         return self._done()
 
     def _leave(self, index: LogIndex, command: LeaveMember) -> Outcome:
-        if not self._members.leave(index, command.node, command.epoch):
+        left = self._members.leave(
+            index, command.node, command.epoch, command.departed_boot
+        )
+        if not left:
             raise _fenced_error(command.node, command.epoch)
         self.view_revision = index
         return self._done()
--- a/cicadawheel/control/state/membership.py
+++ b/cicadawheel/control/state/membership.py
@@ -1,12 +1,18 @@
 """The registered members, with the log index at which each one last changed."""
 
+from collections import OrderedDict
+
 import msgspec
 
 from cicadawheel.configuration import Member
 from cicadawheel.errors import CommandRefusedError
-from cicadawheel.ids import Epoch, LogIndex, NodeId
+from cicadawheel.ids import BootId, Epoch, LogIndex, NodeId, UpstreamId
 
 REMOVAL_LIMIT = 10_000
+DEPARTURE_LIMIT = 10_000
+"""Number of nodes whose last departed upstream is remembered."""
+
+NO_BOOT = BootId("")
 
 
 class Removal(msgspec.Struct, frozen=True, array_like=True):
@@ -28,6 +34,13 @@
     removed: tuple[NodeId, ...]
 
 
+class Departure(msgspec.Struct, frozen=True, array_like=True):
+    """A boot of an upstream that has left for good."""
+
+    upstream: UpstreamId
+    boot: BootId
+
+
 class MembersSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """The content of a `MemberTable`."""
 
@@ -35,6 +48,7 @@
     changed_at: dict[NodeId, LogIndex]
     removals: list[Removal]
     removals_from: LogIndex
+    departures: dict[NodeId, Departure] = {}
 
 
 class MemberTable:
@@ -45,10 +59,16 @@
         self._changed_at: dict[NodeId, LogIndex] = {}
         self._removals: list[Removal] = []
         self._removals_from = LogIndex(0)
+        self._departures: OrderedDict[NodeId, Departure] = OrderedDict()
 
-    def register(self, index: LogIndex, member: Member) -> Member:
+    def register(
+        self, index: LogIndex, member: Member, boot: BootId = NO_BOOT
+    ) -> Member:
         """Add or replace a member under a new epoch, and return it.
 
+        A boot that has departed from the node stays so, whatever the node, which may
+        have restarted since, was told late.
+
         Raises
         ------
         CommandRefusedError
@@ -59,20 +79,47 @@
             if other.node != member.node:
                 _check_not_held(member, other)
         registered = msgspec.structs.replace(member, epoch=Epoch(index))
+        departure = Departure(member.upstream, boot)
+        if member.departed_boot:
+            self._record_departure(member)
+        elif self._departures.get(member.node) == departure:
+            registered = msgspec.structs.replace(
+                registered, leaving=True, departed_boot=boot
+            )
         self._put(index, registered)
         return registered
 
+    def _record_departure(self, member: Member) -> None:
+        self._departures[member.node] = Departure(member.upstream, member.departed_boot)
+        self._departures.move_to_end(member.node)
+        if len(self._departures) > DEPARTURE_LIMIT:
+            self._departures.popitem(last=False)
+
     def is_current(self, node: NodeId, epoch: Epoch) -> bool:
         """Return whether an epoch is that of a node's latest registration."""
         member = self.members.get(node)
         return member is not None and member.epoch == epoch
 
-    def leave(self, index: LogIndex, node: NodeId, epoch: Epoch) -> bool:
-        """Mark a member as leaving; return False if the epoch is not current."""
+    def leave(
+        self,
+        index: LogIndex,
+        node: NodeId,
+        epoch: Epoch,
+        departed_boot: BootId = NO_BOOT,
+    ) -> bool:
+        """Mark a member as leaving; return False if the epoch is not current.
+
+        ``departed_boot`` is the boot of its upstream if that has left for good.
+        """
         if not self.is_current(node, epoch):
             return False
-        if not self.members[node].leaving:
-            leaving = msgspec.structs.replace(self.members[node], leaving=True)
+        member = self.members[node]
+        leaving = msgspec.structs.replace(
+            member, leaving=True, departed_boot=departed_boot or member.departed_boot
+        )
+        if leaving.departed_boot:
+            self._record_departure(leaving)
+        if leaving != member:
             self._put(index, leaving)
         return True
 
@@ -110,6 +157,7 @@
             dict(self._changed_at),
             list(self._removals),
             self._removals_from,
+            dict(self._departures),
         )
 
     def restore(self, snapshot: MembersSnapshot) -> None:
@@ -118,6 +166,7 @@
         self._changed_at = dict(snapshot.changed_at)
         self._removals = list(snapshot.removals)
         self._removals_from = snapshot.removals_from
+        self._departures = OrderedDict(snapshot.departures)
 
     def _put(self, index: LogIndex, member: Member) -> None:
         self.members[member.node] = member
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -53,6 +53,8 @@
 
 BOOT_ID_BYTES = 8
 LEAVE_NOTICE_MS = 300.0
+# Upstreams wait for a second for the answer to a heartbeat.
+DEPARTURE_TIMEOUT_MS = 700.0
 ANNOUNCEMENT_TIMEOUT_MS = 3.5 * ANNOUNCE_REPEAT_MS
 MEASURE_INTERVAL_MS = 50.0
 # Interval of the check for calls to hedge: a small fraction of the shortest target
@@ -223,11 +225,19 @@
         self._announcement_filter.leave(leave, self.clock.unix_ms())
         if not self.gate.leave(leave.upstream, leave.boot):
             return False
-        self.control.leave()
+        self.control.depart()
         return True
 
+    async def confirm_departure(self) -> bool:
+        """Return whether control knows that the upstream has left, if it has.
+
+        Until then, a restart of this node would forget it.
+        """
+        return await self.control.confirm_departure(DEPARTURE_TIMEOUT_MS)
+
     def view_changed(self, view: NodeView) -> None:
         """Apply a newer view to all components."""
+        self._apply_departure(view)
         self.gate.configure(view.configuration)
         self.gate.quarantine(view.quarantined)
         self.entry.quarantined = view.quarantined
@@ -243,6 +253,17 @@
             members=len(view.members),
         )
 
+    def _apply_departure(self, view: NodeView) -> None:
+        """Close the gate if its upstream had left before this node was restarted."""
+        registered = view.members.get(self.node)
+        announced = self.gate.announcement
+        if registered is None or announced is None or self.gate.admission.leaving:
+            return
+        departure = (registered.upstream, registered.departed_boot)
+        if departure == (announced.upstream, announced.boot):
+            log_event(log, "announcement_late", upstream=announced.upstream)
+            self.handle_leave(Leave(announced.upstream, announced.boot))
+
     def _update_gate_count(self) -> None:
         """Pass the gate the number of gates of its service, itself included."""
         announcement = self.gate.announcement
@@ -390,7 +411,8 @@
                 slots=announcement.slots,
                 connections=announcement.connections,
                 leaving=leaving,
-            )
+            ),
+            announcement.boot,
         )
 
     def _check_announcement(self, now_ms: float) -> None:
--- a/cicadawheel/node/link.py
+++ b/cicadawheel/node/link.py
@@ -23,7 +23,7 @@
     ViewDelta,
 )
 from cicadawheel.errors import ConnectionLostError, PeerError
-from cicadawheel.ids import Epoch, NodeId
+from cicadawheel.ids import BootId, Epoch, NodeId, UpstreamId
 from cicadawheel.logs import log_event
 from cicadawheel.node.view import NodeView
 from cicadawheel.settings import Address
@@ -87,6 +87,7 @@
         self.view = NodeView()
         self.epoch = Epoch(0)
         self.member: Member | None = None
+        self.boot = BootId("")
         self.sent_bytes = 0
         self.received_bytes = 0
         self.replica = ""
@@ -96,6 +97,7 @@
         self._current = asyncio.Event()
         self._last_current_at_s = 0.0
         self._registered = asyncio.Event()
+        self._departure_known = asyncio.Event()
 
     @property
     def connected(self) -> bool:
@@ -116,12 +118,38 @@
                 log_event(log, "control_lost", peer=address, reason=error)
             await asyncio.sleep(RETRY_DELAY_MS / MS_PER_S)
 
-    def register(self, member: Member) -> None:
+    def register(self, member: Member, boot: BootId) -> None:
         """Register the upstream, now and after each reconnection."""
-        if self.member != member:
+        if (self.member, self.boot) != (member, boot):
             self.member = member
+            self.boot = boot
             self._renew(with_member=True)
 
+    def depart(self) -> None:
+        """Report to control that the upstream has left for good, until it knows."""
+        if self.member is not None:
+            self.member = msgspec.structs.replace(
+                self.member, leaving=True, departed_boot=self.boot
+            )
+            self._check_departure()
+        if not self._departure_known.is_set():
+            self._send(Leaving(self.node, self.epoch, self.boot))
+
+    async def confirm_departure(self, timeout_ms: float) -> bool:
+        """Wait until control knows that the upstream has left; return whether it does.
+
+        An upstream that was never registered needs no confirmation.
+        """
+        if self.member is None or not self.member.departed_boot:
+            return True
+        self._check_departure()
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await self._departure_known.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def leave(self) -> None:
         """Report to control that the upstream takes no new work."""
         if self.member is not None:
@@ -136,6 +164,7 @@
         """Apply a view received from another node, if it is newer."""
         if self.view.update(view):
             log_event(log, "view_from_peer", index=view.index)
+            self._check_departure()
             self.owner.view_changed(self.view)
 
     async def ready(self) -> None:
@@ -151,8 +180,7 @@
         if isinstance(message, Heartbeat):
             self._handle_beat(message)
         elif isinstance(message, Registered):
-            self.epoch = message.epoch
-            self._registered.set()
+            self._handle_registered(message)
         elif isinstance(message, RegisterAgain):
             self._renew(with_member=True)
         elif isinstance(message, Replicas):
@@ -160,6 +188,7 @@
         elif isinstance(message, ClaimAnswer):
             self.owner.claim_answered(message)
         elif self._apply_view(message):
+            self._check_departure()
             self.owner.view_changed(self.view)
             self._renew()
 
@@ -195,7 +224,22 @@
                 self._check_staleness(now_s)
                 if (now_s - renewed_at_s) * MS_PER_S >= RENEWAL_INTERVAL_MS:
                     renewed_at_s = now_s
-                    self._renew(with_member=not self._registered.is_set())
+                    self._renew(with_member=self._has_unregistered_member())
+
+    def _has_unregistered_member(self) -> bool:
+        if not self._registered.is_set():
+            return True
+        departed = self.member is not None and bool(self.member.departed_boot)
+        return departed and not self._departure_known.is_set()
+
+    def _check_departure(self) -> None:
+        """Compare the departure to report with the one in the view."""
+        known = self.view.members.get(self.node)
+        departure = None if self.member is None else _departure(self.member)
+        if departure and known is not None and _departure(known) == departure:
+            self._departure_known.set()
+        else:
+            self._departure_known.clear()
 
     def _check_staleness(self, now_s: float) -> None:
         silent_ms = (now_s - self._last_current_at_s) * MS_PER_S
@@ -226,6 +270,18 @@
         self.addresses = tuple(dict.fromkeys((*known, *self.seeds)))
         log_event(log, "replicas_known", hosts=",".join(hosts))
 
+    def _handle_registered(self, message: Registered) -> None:
+        self.epoch = message.epoch
+        self._registered.set()
+        member = self.member
+        if member is None or not member.departed_boot:
+            return
+        if message.departed_boot == member.departed_boot:
+            self._departure_known.set()
+        elif not self._departure_known.is_set():
+            # The upstream left while it was being registered.
+            self._renew(with_member=True)
+
     def _handle_beat(self, beat: Heartbeat) -> None:
         if beat.current:
             self._last_current_at_s = asyncio.get_running_loop().time()
@@ -249,7 +305,15 @@
         revision = self.view.configuration.revision
         load = self.owner.load()
         self._send(
-            Renewal(self.node, self.epoch, revision, self.view.index, member, load)
+            Renewal(
+                self.node,
+                self.epoch,
+                revision,
+                self.view.index,
+                member,
+                load,
+                self.boot,
+            )
         )
 
     def _send(self, message: NodeToControl) -> bool:
@@ -257,3 +321,7 @@
             return False
         self._stream.send(message)
         return True
+
+
+def _departure(member: Member) -> tuple[UpstreamId, BootId] | None:
+    return (member.upstream, member.departed_boot) if member.departed_boot else None
--- a/cicadawheel/platform/node.py
+++ b/cicadawheel/platform/node.py
@@ -23,6 +23,7 @@
 HEARTBEAT = "instances.heartbeat"
 DEREGISTER = "instances.deregister"
 BAD_REQUEST = 400
+SERVICE_UNAVAILABLE = 503
 
 
 class PlatformNodeApi:
@@ -50,27 +51,34 @@
         instance = query.get("of", [""])[0]
         try:
             if call_name == HEARTBEAT:
-                return self._handle_heartbeat(instance, request.body)
+                return await self._handle_heartbeat(instance, request.body)
             if call_name == DEREGISTER:
-                return self._handle_deregistration(instance, request.body)
+                return await self._handle_deregistration(instance, request.body)
         except ValueError as error:
             log_event(log, "announcement_refused", upstream=instance, reason=error)
             return text_answer(f"{error}\n", BAD_REQUEST)
         return text_answer(f"no call {call_name}\n", 404)
 
-    def _handle_heartbeat(self, instance: str, body: bytes) -> HttpAnswer:
+    async def _handle_heartbeat(self, instance: str, body: bytes) -> HttpAnswer:
         heartbeat = decode_heartbeat(instance, body)
         services = self.node.control.view.configuration.services
         announcement = heartbeat.to_announcement(services.get(heartbeat.service))
         self.node.handle_announcement(
             announcement, heartbeat.sequence, heartbeat.draining
         )
+        if heartbeat.draining:
+            return await self._acknowledge_departure()
         return json_answer({})
 
-    def _handle_deregistration(self, instance: str, body: bytes) -> HttpAnswer:
+    async def _handle_deregistration(self, instance: str, body: bytes) -> HttpAnswer:
         boot = decode_deregistration(body)
         self.node.handle_leave(Leave(UpstreamId(instance), boot))
-        return json_answer({})
+        return await self._acknowledge_departure()
+
+    async def _acknowledge_departure(self) -> HttpAnswer:
+        if await self.node.confirm_departure():
+            return json_answer({})
+        return text_answer("control hasn't confirmed it yet\n", SERVICE_UNAVAILABLE)
 
 
 def make_handler(node: Node) -> Handler:
