--- a/cicadawheel/control/state/machine.py
+++ b/cicadawheel/control/state/machine.py
@@ -139,14 +139,17 @@
         revision = self.configuration.revision
         outcome = self._operations.conflict(command, revision)
         if outcome is None:
-            outcome = self._find_earlier_copy(command)
+            outcome = self._answer_unchanged(command)
         if outcome is None:
             outcome = self._apply_change(index, command)
         self._operations.record(command, outcome)
         return outcome
 
-    def _find_earlier_copy(self, command: OperatorCommand) -> Outcome | None:
-        """Return the outcome of a copy that arrives after another one, or None."""
+    def _answer_unchanged(self, command: OperatorCommand) -> Outcome | None:
+        """Return the outcome of a command that changes nothing, or None.
+
+        Another copy of it has taken effect, or what it expects was replaced since.
+        """
         if has_taken_effect(self.configuration, command):
             return self._done("it has taken effect before")
         if is_superseded(self.configuration, command):
