--- a/cicadawheel/node/announcement_filter.py
+++ b/cicadawheel/node/announcement_filter.py
@@ -6,7 +6,7 @@
 from cicadawheel.ids import BootId, UpstreamId
 
 DEPARTURE_LIMIT = 1_000
-"""Number of departures remembered; one VM rarely runs more upstreams in a day."""
+"""Number of departures that a node remembers."""
 
 
 class AnnouncementFilter:
