Logs tell a replica that can't apply, and a stop that leaves bytes unsent

- replica_behind and replica_caught_up, and the gauge cicadawheel_control_apply_lag_seconds: the age of the oldest entry that is known to be committed and isn't applied here.
- view_in_force names the replica, node_stopped the calls and bytes that it leaves.
- A repeated order is answered with what it asked for.

No decision changes.

--- a/cicadawheel/control/log.py
+++ b/cicadawheel/control/log.py
@@ -59,6 +59,9 @@
             No majority confirmed that the leader still leads.
         """
 
+    def apply_lag_ms(self) -> float:
+        """Return how long a committed command has waited to be applied, 0 if none."""
+
     def send_to_leader(self, data: bytes) -> None:
         """Send a report to the leader's `ControlServer`; it may be lost."""
 
@@ -95,6 +98,10 @@
         """Return the last index."""
         return self.index
 
+    def apply_lag_ms(self) -> float:
+        """Return 0, because commands are applied at once."""
+        return 0.0
+
     def hosts(self) -> tuple[str, ...]:
         """Return no hosts, because there are no other replicas."""
         return ()
--- a/cicadawheel/control/metrics.py
+++ b/cicadawheel/control/metrics.py
@@ -5,6 +5,7 @@
 from cicadawheel.control.command import OutcomeState
 from cicadawheel.control.replica.status import RepairState, ReplicaStatus
 from cicadawheel.control.server import ControlServer
+from cicadawheel.timer import MS_PER_S
 
 GAUGES = {
     "cicadawheel_revision": "Revision of the newest configuration.",
@@ -14,6 +15,7 @@
     "cicadawheel_control_term": "Term of the log.",
     "cicadawheel_control_commit_index": "Last entry known to be committed.",
     "cicadawheel_control_applied_index": "Last entry that was applied.",
+    "cicadawheel_control_apply_lag_seconds": "Age of the oldest unapplied entry.",
     "cicadawheel_control_snapshot_index": "Last entry that the snapshot covers.",
     "cicadawheel_control_nodes": "Nodes that are connected to the replica.",
     "cicadawheel_control_members": "Upstreams that are registered.",
@@ -56,6 +58,7 @@
         leader = server.log.leader
         self._set("has_leader", leader is not None)
         self._set("leads", leader == server.replica)
+        self._set("apply_lag_seconds", server.log.apply_lag_ms() / MS_PER_S)
         self._update_state(server)
         if own_status is not None:
             self._update_log(own_status)
--- a/cicadawheel/control/raft/core.py
+++ b/cicadawheel/control/raft/core.py
@@ -8,6 +8,7 @@
 
 import random
 
+from cicadawheel.control.raft.apply_lag import ApplyLag
 from cicadawheel.control.raft.apply_queue import ApplyQueue
 from cicadawheel.control.raft.durability import Durability, Outbound
 from cicadawheel.control.raft.election import Election
@@ -77,6 +78,7 @@
         self.leadership: Leadership | None = None
         self.role_changes: list[RoleChange] = []
         self._apply_queue = ApplyQueue(self.log)
+        self._apply_lag = ApplyLag(now_ms)
         self._durability = Durability(saved)
         self._follower = Follower(self.log, self._apply_queue, self._durability)
         self._election = Election(
@@ -103,8 +105,18 @@
         """The index of the last entry returned by `take_committed`."""
         return self._apply_queue.applied_index
 
+    @property
+    def announced_index(self) -> LogIndex:
+        """The newest entry known to be committed, whether or not it has arrived."""
+        return max(self.commit_index, self._follower.announced_index)
+
+    def apply_lag_ms(self, now_ms: float) -> float:
+        """Return how long a committed entry has waited to be applied, 0 if none."""
+        return self._apply_lag.value_ms(self.applied_index, now_ms)
+
     def tick(self, now_ms: float) -> None:
         """Check the election timeout, the leader's quorum and a stalled disk."""
+        self._apply_lag.observe(self.announced_index, self.applied_index, now_ms)
         stall_ms = WRITE_STALL_TIMEOUTS * self.options.election_timeout_ms
         stalled = self._durability.is_stalled(now_ms, stall_ms)
         if self.leadership is not None:
--- a/cicadawheel/control/raft/follower.py
+++ b/cicadawheel/control/raft/follower.py
@@ -30,6 +30,8 @@
         self.log = log
         self.apply_queue = apply_queue
         self.durability = durability
+        self.announced_index = LogIndex(0)
+        """The newest entry that a leader has announced as committed."""
         self._verified_index = LogIndex(0)
         self._acknowledged_index = LogIndex(0)
         self._round = 0
@@ -47,6 +49,7 @@
     def receive_append(self, leader: ReplicaId, request: AppendRequest) -> None:
         """Append the entries of a request to the log, and reply."""
         self._round = max(self._round, request.round)
+        self.announced_index = max(self.announced_index, request.commit_index)
         term, prev_index = request.term, request.prev_index
         if not self._matches(request):
             hint = self._conflict_hint(prev_index)
@@ -62,6 +65,7 @@
 
     def receive_chunk(self, leader: ReplicaId, chunk: SnapshotChunk) -> Snapshot | None:
         """Store a snapshot chunk and reply; return the snapshot once complete."""
+        self.announced_index = max(self.announced_index, chunk.index)
         commit_index = self.apply_queue.commit_index
         if chunk.index <= commit_index:
             index = LogIndex(min(commit_index, self.log.persisted_index))
--- a/cicadawheel/control/replication.py
+++ b/cicadawheel/control/replication.py
@@ -183,6 +183,11 @@
         """
         await self._requests.request(RemoveReplica(replica), MEMBERSHIP_TIMEOUT_MS)
 
+    def apply_lag_ms(self) -> float:
+        """Return how long a committed command has waited to be applied, 0 if none."""
+        engine = self._runner.engine
+        return 0.0 if engine is None else engine.raft.apply_lag_ms(self._clock.now_ms())
+
     def use_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Set the seeds used to find other replicas until this one is a member."""
         self._runner.seeds = seeds
--- a/cicadawheel/control/server.py
+++ b/cicadawheel/control/server.py
@@ -35,6 +35,7 @@
 LOADS_POLL_MS = 50.0
 HEARTBEAT_INTERVAL_MS = 250.0
 LEASE_CHECKS_PER_LEASE = 6
+APPLY_LAG_LIMIT_ELECTIONS = 2
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(ReplicaReport)
@@ -78,6 +79,7 @@
         self._leads = False
         self._leases_index = LogIndex(0)
         self._expiring = False
+        self._is_behind = False
         self._tasks: set[asyncio.Task] = set()
         timers.every(VIEW_INTERVAL_MS, self._send_views)
         timers.every(HEARTBEAT_INTERVAL_MS, self._send_heartbeats)
@@ -193,7 +195,19 @@
             if session.lease is not None and session.has_view:
                 session.send_view()
 
+    def _update_lag(self) -> None:
+        """Log when this replica falls behind what the leader has committed."""
+        lag_ms = self.log.apply_lag_ms()
+        limit_ms = APPLY_LAG_LIMIT_ELECTIONS * self.settings.election_timeout_ms
+        is_behind = lag_ms > limit_ms
+        if is_behind and not self._is_behind:
+            log_event(log, "replica_behind", replica=self.replica, lag_ms=lag_ms)
+        elif self._is_behind and not is_behind:
+            log_event(log, "replica_caught_up", replica=self.replica, lag_ms=lag_ms)
+        self._is_behind = is_behind
+
     def _send_heartbeats(self, now_ms: float) -> None:
+        self._update_lag()
         current = self.is_current()
         for session in self.sessions:
             session.send_heartbeat(current)
--- a/cicadawheel/control/state/machine.py
+++ b/cicadawheel/control/state/machine.py
@@ -151,7 +151,7 @@
         Another copy of it has taken effect, or what it expects was replaced since.
         """
         if has_taken_effect(self.configuration, command):
-            return self._done("it has taken effect before")
+            return self._done(f"{describe_change(command)}, as before")
         if is_superseded(self.configuration, command):
             text = "the state has changed since the command was sent"
             return Outcome(OutcomeState.CONFLICT, self.configuration.revision, text)
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -187,6 +187,10 @@
         """Deregister a connection."""
         self._connections.discard(connection)
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes for callers not yet passed to the kernel."""
+        return sum(connection.unsent_bytes() for connection in self._connections)
+
     def close_idle(self, now_ms: float) -> None:
         """Close the connections that have exceeded the idle timeout."""
         now_s = asyncio.get_running_loop().time()
--- a/cicadawheel/gate/server.py
+++ b/cicadawheel/gate/server.py
@@ -42,6 +42,17 @@
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
 
 
+class PeerStreams:
+    """The streams on which other nodes send calls to this gate."""
+
+    def __init__(self):
+        self.open: set[Stream] = set()
+
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes not yet passed to the kernel."""
+        return sum(stream.unsent_bytes() for stream in self.open)
+
+
 class PeerServer:
     """Passes the calls of one peer node to the gate.
 
@@ -51,17 +62,21 @@
         The gate of this node.
     get_view : Callable
         Returns this node's view of the deployment.
+    streams : PeerStreams
+        Holds the stream while it is open.
     """
 
-    def __init__(self, gate: Gate, get_view: GetView):
+    def __init__(self, gate: Gate, get_view: GetView, streams: PeerStreams):
         self.gate = gate
         self.get_view = get_view
+        self.streams = streams
         self._calls: dict[StreamId, GateCall] = {}
         self._stream: Stream | None = None
 
     def stream_opened(self, stream: Stream) -> None:
         """Subscribe the peer to the gate's load and send the current one."""
         self._stream = stream
+        self.streams.open.add(stream)
         self.gate.publisher.listeners.add(self._push_load)
         stream.send(ProbeReply(StreamId(0), self.gate.load()))
         log_event(log, "peer_connected", peer=stream.peer)
@@ -81,6 +96,7 @@
 
     def stream_closed(self, stream: Stream, error: PeerError | None) -> None:
         """Cancel the calls of the peer, as their replies can't be delivered."""
+        self.streams.open.discard(stream)
         self.gate.publisher.listeners.discard(self._push_load)
         calls, self._calls = self._calls, {}
         for call in calls.values():
@@ -131,7 +147,11 @@
 
 
 async def serve_peers(
-    address: Address, identity: Identity, gate: Gate, get_view: GetView
+    address: Address,
+    identity: Identity,
+    gate: Gate,
+    get_view: GetView,
+    streams: PeerStreams,
 ) -> asyncio.Server:
     """Listen for streams of other nodes."""
     return await serve_streams(
@@ -139,5 +159,5 @@
         address.port,
         identity,
         _decoder,
-        lambda: PeerServer(gate, get_view),
+        lambda: PeerServer(gate, get_view, streams),
     )
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -173,6 +173,12 @@
             owner.caller_lost()
         self.service.connection_closed(self)
 
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes not yet passed to the kernel."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def pause_writing(self) -> None:
         """Mark the connection as not writable while its write buffer is full."""
         self.writable = False
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -20,7 +20,7 @@
 from cicadawheel.entry.router import Router
 from cicadawheel.gate.gate import Gate, GateReport
 from cicadawheel.gate.repeat_budget import RepeatBudget
-from cicadawheel.gate.server import serve_peers
+from cicadawheel.gate.server import PeerStreams, serve_peers
 from cicadawheel.http import caller
 from cicadawheel.http.caller import CallerConnection
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
@@ -122,6 +122,7 @@
         self.draining = False
         data_centre = settings.process.data_centre
         self.gate = Gate(settings.gate, data_centre, timers, self.node, dialect)
+        self.peer_streams = PeerStreams()
         self.links = PeerLinks(self.identity, settings.entry.connect_timeout_ms, self)
         control_streams = settings.node.control_streams()
         self.control = ControlLink(
@@ -251,6 +252,7 @@
             index=view.index,
             revision=view.configuration.revision,
             members=len(view.members),
+            peer=self.control.replica,
         )
 
     def _apply_departure(self, view: NodeView) -> None:
@@ -346,6 +348,7 @@
             self.identity,
             self.gate,
             self.control.view.message,
+            self.peer_streams,
         )
         admin = await serve_http(addresses.admin_address, self._make_handler(self))
         servers = [callers, nodes, admin]
@@ -392,7 +395,17 @@
         self.gate.close()
         for server in servers[1:]:
             server.close()
-        log_event(log, "node_stopped", node=self.node)
+        log_event(
+            log,
+            "node_stopped",
+            node=self.node,
+            calls=len(self.entry.calls),
+            unsent_bytes=self.unsent_bytes(),
+        )
+
+    def unsent_bytes(self) -> int:
+        """Return the bytes for callers and peers not yet passed to the kernel."""
+        return self.entry.unsent_bytes() + self.peer_streams.unsent_bytes()
 
     def _register(self) -> None:
         announcement = self.gate.announcement
