Failing test: an evacuation doesn't reach nodes of a replica whose disk stalls

Played with real processes: six nodes use one of five replicas, whose disk stalls; the data centre is evacuated, acknowledged by the other replicas.

--- a/bench/machine.py
+++ b/bench/machine.py
@@ -22,13 +22,18 @@
 BLOCK_BYTES = 512
 """Disks write aligned blocks of this size atomically; a block that was not synced may
 read back as zeros."""
+STALL_POLL_S = 0.01
 
 
 class MachineFaults(msgspec.Struct, frozen=True):
-    """Injected disk and clock faults. With ``full`` set, every append fails."""
+    """Injected disk and clock faults.
+
+    With ``full`` set, every append fails; with ``stalled`` set, no sync ends.
+    """
 
     sync_delay_ms: float = 0.0
     full: bool = False
+    stalled: bool = False
     clock_step_ms: int = 0
 
 
@@ -114,6 +119,8 @@
 
     def faulty_sync(files: DiskFiles, name: str) -> None:
         time.sleep(faults.read().sync_delay_ms / MS_PER_S)
+        while faults.read().stalled:
+            time.sleep(STALL_POLL_S)
         size_bytes = (Path(files.folder) / name).stat().st_size
         sync(files, name)
         sizes[name] = size_bytes
