Nodes leave a replica that hears its leader but can't apply its log

Callers' requests ran in a data centre for as long as the disk of one replica stalled, though its evacuation had been acknowledged.

Cause: a replica tells its nodes that their view is current while it hears a leader. A follower whose disk hangs goes on hearing it, but applies nothing, as it applies only what is durable. Its nodes stay, and keep the old view; where these include the gates of the data centre and some entries, calls run there. The same holds for the leader, which steps down after 1.6 s and then follows, and for a follower that gets no entries.

Excluded: the acknowledgement (committed by the others), the gates (each closed within a millisecond of its view).

Change: a replica isn't current while an entry that it knows to be committed has waited for two election timeouts. Its nodes then do what they do when it hears no leader: they ask peers for their view, and use another replica.

--- a/cicadawheel/control/server.py
+++ b/cicadawheel/control/server.py
@@ -87,8 +87,12 @@
         timers.every(lease_check_ms, self._check_leases)
 
     def is_current(self) -> bool:
-        """Return whether this replica hears from a leader."""
-        return self.log.leader is not None
+        """Return whether this replica hears from a leader and applies its log in time.
+
+        Nodes leave a replica that isn't current. One whose disk hangs, or that gets no
+        entries, still hears the leader, but would leave its nodes with an old view.
+        """
+        return self.log.leader is not None and not self._is_behind
 
     def leadership_changed(self, leads: bool) -> None:
         """Start or stop acting as leader; all leases are granted anew."""
--- a/cicadawheel/control/session.py
+++ b/cicadawheel/control/session.py
@@ -67,7 +67,7 @@
         """Remove a node's session."""
 
     def is_current(self) -> bool:
-        """Return whether this replica hears from a leader."""
+        """Return whether this replica hears from a leader and has applied its log."""
 
     def report_to_leader(self, report: LeaseReport | EvidenceReport) -> None:
         """Send a report to the leader, which may be this replica."""
