--- /dev/null
+++ b/test/test_apply_lag.py
@@ -0,0 +1,46 @@
+"""A replica knows how long it has been behind what its leader has committed."""
+
+from raft_shuttle import others, propose
+
+BEHIND_MS = 300.0
+ANNOUNCED_MS = 40.0
+"""Two heartbeats: by then a replica knows what is committed."""
+
+
+def lags_ms(cluster):
+    return {
+        name: raft.apply_lag_ms(cluster.now_ms) for name, raft in cluster.rafts.items()
+    }
+
+
+def test_replica_without_unapplied_entries_is_not_behind(trio):
+    leader = trio.elect()
+    propose(trio, leader, b"x")
+    trio.pass_time(BEHIND_MS)
+    assert set(lags_ms(trio).values()) == {0.0}
+
+
+def test_replica_with_a_stalled_disk_is_behind_until_it_has_written(trio):
+    leader = trio.elect()
+    stalled, other = others(trio, leader)
+    trio.slow_disks.add(stalled)
+    propose(trio, leader, b"x")
+    trio.pass_time(BEHIND_MS)
+    assert trio.rafts[stalled].leader == leader
+    assert lags_ms(trio)[stalled] >= BEHIND_MS - ANNOUNCED_MS
+    assert lags_ms(trio)[other] == 0.0
+    trio.slow_disks.clear()
+    trio.pass_time(50)
+    assert lags_ms(trio)[stalled] == 0.0
+
+
+def test_replica_that_hears_heartbeats_and_gets_no_entries_is_behind(trio):
+    leader = trio.elect()
+    unheard, _ = others(trio, leader)
+    # The leader sends a replica that it doesn't hear heartbeats only.
+    trio.partitioned.add((unheard, leader))
+    trio.pass_time(2 * trio.options.election_timeout_ms)
+    propose(trio, leader, b"x")
+    trio.pass_time(BEHIND_MS)
+    assert trio.rafts[unheard].leader == leader
+    assert lags_ms(trio)[unheard] >= BEHIND_MS - ANNOUNCED_MS
