A kept connection closes after an answer that outlasts the notice of a stop

Callers' requests could be cut without an answer at the end of a planned stop.

Cause: where the head of an answer was sent before the stop, it doesn't say Connection: close. Idle connections are closed once, when the notice is over; a connection whose answer ended later stayed open. Its next request was taken and passed on while the node waited for calls at its gate, and cut at the exit. The same held for a connection that was accepted just as the node stopped listening.

Evidence: an answer of 20 MB that ended after the notice; its connection was still open when the node had stopped.

Change: after the notice, a connection closes as soon as its call has ended, and one that is accepted late closes at once.

Measured: the new test fails before and passes now.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -138,6 +138,7 @@
         self.quarantined: frozenset[Fingerprint] = frozenset()
         self.configuration = Configuration()
         self.draining = False
+        self.closing = False
         self.idle = asyncio.Event()
         self.idle.set()
         self.calls: set[EntryCall] = set()
@@ -164,8 +165,12 @@
             self.links.connect([one for one in used if one.node != self.node])
 
     def drain(self, close_idle: bool = True) -> None:
-        """Close each connection after its next answer, and idle ones at once."""
+        """Close each connection after its next answer, and idle ones at once.
+
+        With ``close_idle`` false, idle connections may send one more request.
+        """
         self.draining = True
+        self.closing = close_idle
         for connection in list(self._connections):
             connection.closing = True
             if close_idle:
@@ -177,6 +182,8 @@
             return False
         self._connections.add(connection)
         connection.closing = self.draining
+        if self.closing:
+            asyncio.get_running_loop().call_soon(connection.close_when_idle)
         return True
 
     def caller_limits(self) -> CallerLimits:
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -99,6 +99,7 @@
         self._head_started_s: float | None = None
         self.writable = True
         self.closing = False
+        self._closes_when_idle = False
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=head_limit_bytes
         )
@@ -131,6 +132,7 @@
             return
         self._process_events()
         self._limit_pipelining()
+        self._close_if_idle()
         if self.state is ConnectionState.IDLE and self._head_started_s is None:
             self._head_started_s = asyncio.get_running_loop().time()
 
@@ -237,8 +239,8 @@
     def close_when_idle(self) -> None:
         """Close the connection once the call in progress, if any, has ended."""
         self.closing = True
-        if self.state is ConnectionState.IDLE and self._transport is not None:
-            self._transport.close()
+        self._closes_when_idle = True
+        self._close_if_idle()
 
     def refuse(self, status: int, reason: str) -> None:
         """Send a plain-text error response and close the connection."""
@@ -278,8 +280,15 @@
         self.state = ConnectionState.IDLE
         self._idle_since_s = asyncio.get_running_loop().time()
         self._transport.resume_reading()
-        if not self._processing_events and self._http.trailing_data[0]:
-            self._process_events()
+        if not self._processing_events:
+            if self._http.trailing_data[0]:
+                self._process_events()
+            self._close_if_idle()
+
+    def _close_if_idle(self) -> None:
+        idle = self.state is ConnectionState.IDLE
+        if idle and self._closes_when_idle and self._transport is not None:
+            self._transport.close()
 
     def _linger(self) -> None:
         """Discard the unread rest of a request body before closing the connection.
