A stopping node delivers what it has not sent yet

Cause: a planned stop ended when the last byte of each answer had been written to its connection, not when it had been passed to the kernel; what was still in the buffers of the process was dropped at its exit. The same holds for the streams on which other nodes get answers from this gate. There, bytes that a peer has sent and that nobody reads make the kernel reset the stream at the exit, which drops what the kernel itself had not sent.

Change: a stop also waits until callers' connections have closed, which is after their last byte, then ends the streams of peers and waits until these have closed too, for at most 400 ms more than the drain. Calls, gate and connections are checked together again, as one may begin while another is waited for.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -186,6 +186,10 @@
             asyncio.get_running_loop().call_soon(connection.close_when_idle)
         return True
 
+    def has_callers(self) -> bool:
+        """Return whether a call or a caller's connection is open."""
+        return bool(self.calls or self._connections)
+
     def caller_limits(self) -> CallerLimits:
         """Return the size and time limits for requests of callers."""
         return self.configuration.callers
--- a/cicadawheel/gate/server.py
+++ b/cicadawheel/gate/server.py
@@ -52,6 +52,11 @@
         """Return the number of bytes not yet passed to the kernel."""
         return sum(stream.unsent_bytes() for stream in self.open)
 
+    def finish(self) -> None:
+        """End the streams; each closes once its peer has got all messages."""
+        for stream in list(self.open):
+            stream.finish()
+
 
 class PeerServer:
     """Passes the calls of one peer node to the gate.
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -1,6 +1,7 @@
 """The node daemon: creates the components and runs them until it is stopped."""
 
 import asyncio
+import contextlib
 import logging
 import secrets
 from collections.abc import Callable
@@ -53,6 +54,9 @@
 
 BOOT_ID_BYTES = 8
 LEAVE_NOTICE_MS = 300.0
+# How long the last bytes of a planned stop may take to be sent.
+FLUSH_TIMEOUT_MS = 400.0
+FLUSH_POLL_MS = 10.0
 # Upstreams wait for a second for the answer to a heartbeat.
 DEPARTURE_TIMEOUT_MS = 700.0
 ANNOUNCEMENT_TIMEOUT_MS = 3.5 * ANNOUNCE_REPEAT_MS
@@ -386,11 +390,15 @@
                 await asyncio.sleep(max(notice_ms, LEAVE_NOTICE_MS) / MS_PER_S)
                 servers[0].close()
                 self.entry.drain()
-                await self.entry.idle.wait()
-                await self.gate.idle.wait()
-                await self.claims.wait_settled()
+                await self._finish_calls()
         except TimeoutError:
-            log_event(log, "drain_timeout", calls=len(self.entry.calls))
+            log_event(
+                log,
+                "drain_timeout",
+                calls=len(self.entry.calls),
+                unsent_bytes=self.unsent_bytes(),
+            )
+        await self._flush()
         self.links.close()
         self.gate.close()
         for server in servers[1:]:
@@ -403,6 +411,25 @@
             unsent_bytes=self.unsent_bytes(),
         )
 
+    async def _finish_calls(self) -> None:
+        """Wait until all calls have ended and callers have their answers.
+
+        A call may begin while another one is waited for, so all is checked again.
+        """
+        while self.entry.has_callers() or not self.gate.idle.is_set():
+            await self.entry.idle.wait()
+            await self.gate.idle.wait()
+            await asyncio.sleep(FLUSH_POLL_MS / MS_PER_S)
+        await self.claims.wait_settled()
+
+    async def _flush(self) -> None:
+        """Wait until callers and peers have the last bytes, for a limited time."""
+        self.peer_streams.finish()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_TIMEOUT_MS / MS_PER_S):
+                while self.unsent_bytes() or self.peer_streams.open:
+                    await asyncio.sleep(FLUSH_POLL_MS / MS_PER_S)
+
     def unsent_bytes(self) -> int:
         """Return the bytes for callers and peers not yet passed to the kernel."""
         return self.entry.unsent_bytes() + self.peer_streams.unsent_bytes()
--- a/cicadawheel/wire/stream.py
+++ b/cicadawheel/wire/stream.py
@@ -132,6 +132,16 @@
         if self._transport is not None:
             self._transport.close()
 
+    def finish(self) -> None:
+        """Flush queued messages and send the end of the stream.
+
+        The stream closes once the peer has closed it too, so that nothing that was
+        sent is lost.
+        """
+        self._flush()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write_eof()
+
     def abort(self, error: PeerError) -> None:
         """Abort the stream immediately with an error."""
         self._error = self._error or error
