Calls that are left at the end of a planned stop are answered

Their callers' connections were closed without an answer: of requests that were at an upstream, of some that waited at another gate, and of some whose body was still arriving, which hadn't run and could have been sent again.

Cause: when the time of a planned stop was over, the process ended beside the calls that it still had.

Change: these calls end as they do at their deadline: 502 where the request may have run, 503 as not run otherwise; an answer in progress is cut.

Measured: the two new tests fail before and pass now.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -142,6 +142,16 @@
         self._release_claim(self._was_not_run())
         self._end(CallEnd.CALLER_LEFT)
 
+    def end_early(self) -> None:
+        """End the call as the node stops; a caller without an answer gets one."""
+        if self.state is CallState.ENDED:
+            return
+        self._cancel_attempts("node stops", late=False)
+        if self.state is CallState.REPLYING:
+            self._abort_answer(RefusalReason.CANCELLED)
+        else:
+            self._refuse(RefusalReason.LEAVING)
+
     def caller_writable(self) -> None:
         """Grant the gate credit for more of the answer."""
         self._reply.caller_writable()
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -190,6 +190,11 @@
         """Return whether a call or a caller's connection is open."""
         return bool(self.calls or self._connections)
 
+    def end_calls(self) -> None:
+        """End all calls before the process ends; those without an answer get one."""
+        for call in list(self.calls):
+            call.end_early()
+
     def caller_limits(self) -> CallerLimits:
         """Return the size and time limits for requests of callers."""
         return self.configuration.callers
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -398,6 +398,7 @@
                 calls=len(self.entry.calls),
                 unsent_bytes=self.unsent_bytes(),
             )
+            self.entry.end_calls()
         await self._flush()
         self.links.close()
         self.gate.close()
--- a/test/test_planned_stop.py
+++ b/test/test_planned_stop.py
@@ -32,6 +32,30 @@
         return await reader.read()
 
 
+def test_call_at_an_upstream_when_the_stop_ends_is_answered(on_site):
+    # Its caller's connection was closed without an answer.
+    async def work(site):
+        reader, writer = await open_caller(site, "GET /hold")
+        writer.write(b"\r\n")
+        await until(lambda: any(upstream.held for upstream in site.upstreams))
+        await stop_node(site)
+        assert (await read_all(reader)).startswith(b"HTTP/1.1 502 ")
+
+    on_site(work)
+
+
+def test_call_that_was_not_sent_when_the_stop_ends_is_refused_as_not_run(on_site):
+    # Its caller's connection was closed without an answer.
+    async def work(site):
+        reader, writer = await open_caller(site, "PUT /x")
+        writer.write(b"Content-Length: 10\r\n\r\nhalf")
+        await until(lambda: site.nodes[NODE].entry.calls)
+        await stop_node(site)
+        assert (await read_all(reader)).startswith(b"HTTP/1.1 503 ")
+
+    on_site(work)
+
+
 def test_connection_ends_with_an_answer_that_outlasts_the_notice_of_a_stop(on_site):
     # It stayed open, and its next request could be cut when the process ended.
     async def work(site):
