A refused request leaves the idle timeout to the next one

Cause: data_received took the time of a head's first byte whenever the connection was idle after processing, also when a request had just been answered at once and no byte of a next head had arrived. The reverse as well: a head that began during a call wasn't timed from its answer on.

Change: the time is taken only if bytes of an unread head remain, after each processing of events, so also after an answer.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -131,8 +131,6 @@
             return
         self._process_events()
         self._limit_pipelining()
-        if self.state is ConnectionState.IDLE and self._head_started_s is None:
-            self._head_started_s = asyncio.get_running_loop().time()
 
     def _limit_pipelining(self) -> None:
         if self._owner is None or self._http.their_state is not h11.DONE:
@@ -320,6 +318,13 @@
             self._reject_malformed(error)
         finally:
             self._processing_events = False
+        self._time_partial_head()
+
+    def _time_partial_head(self) -> None:
+        if self.state is not ConnectionState.IDLE or self._head_started_s is not None:
+            return
+        if self._http.trailing_data[0]:
+            self._head_started_s = asyncio.get_running_loop().time()
 
     def _process_event(self) -> bool:
         event = self._http.next_event()
--- a/test/test_caller_limits.py
+++ b/test/test_caller_limits.py
@@ -183,3 +183,44 @@
         assert transport.closed
 
     on_connection(scenario)
+
+
+def refuse_at_once(service):
+    def begin_call(connection, request):
+        service.requests.append(request)
+        connection.respond(503, (Header(b"retry-after", b"0.2"),), b"busy")
+        return service
+
+    service.begin_call = begin_call
+
+
+def test_refused_request_leaves_the_idle_timeout_to_the_next_one(on_connection):
+    """No byte of a next head had arrived, yet the idle caller got a 408."""
+
+    def scenario(connection, service, transport):
+        refuse_at_once(service)
+        connection.data_received(head("GET"))
+        written = transport.written
+        connection.check_timeouts(now_s() + 14.0)
+        assert transport.written == written
+        assert not transport.closed
+        connection.check_timeouts(now_s() + 15.1)
+        assert transport.written == written
+        assert transport.closed
+
+    on_connection(scenario)
+
+
+def test_head_that_began_during_a_call_times_out_after_its_answer(on_connection):
+    """Its timeout was that of an idle connection."""
+
+    def scenario(connection, service, transport):
+        connection.data_received(head("GET"))
+        connection.data_received(b"GET /y HTTP/1.1\r\nHo")
+        connection.respond(200, (), b"done")
+        connection.check_timeouts(now_s() + 2.9)
+        assert b"408" not in transport.written
+        connection.check_timeouts(now_s() + 3.1)
+        assert b"HTTP/1.1 408" in transport.written
+
+    on_connection(scenario)
