An answer before its request's end announces the close, or keeps the connection

Cause: a response that is sent before the request's body was read closes the connection after the body, without saying so. The caller's next request on it is cut. That held as well for requests that had arrived whole when they were refused at once, with a length or in chunks: one event was read after the response, which is the end only for requests without a body. The connection lingered, and the next request on it closed it.

Change: what has arrived of the body is discarded before a complete response; if the request is whole then, the connection is kept, else the response announces the close. A streamed response announces it too, but leaves the body to its owner.

Excluded: a request without a body; its connection was kept before, and is (test).

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -34,6 +34,9 @@
 CONTENT_TOO_LARGE_STATUS = 413
 NOT_IMPLEMENTED_STATUS = 501
 
+# States of the caller's side while its request hasn't been read whole.
+UNREAD_STATES = (h11.SEND_BODY, h11.ERROR)
+
 Fields = list[tuple[bytes, bytes]]
 
 
@@ -124,10 +127,7 @@
             self._reject_malformed(error)
             return
         if self.state is ConnectionState.LINGERING:
-            try:
-                self._discard_body()
-            except h11.RemoteProtocolError:
-                self._transport.close()
+            self._discard_body()
             return
         self._process_events()
         self._limit_pipelining()
@@ -201,6 +201,7 @@
         """Send a complete response in one write and wait for the next request."""
         if self._transport is None:
             return
+        self._discard_received_body()
         fields = self._response_fields(headers)
         if not any(name == b"content-length" for name, _ in fields):
             fields.append((b"content-length", b"%d" % len(body)))
@@ -256,7 +257,7 @@
 
     def _response_fields(self, headers: tuple[Header, ...]) -> Fields:
         fields = [(header.name, header.value) for header in headers]
-        if self.closing:
+        if self.closing or self._http.their_state in UNREAD_STATES:
             fields.append((b"connection", b"close"))
         return fields
 
@@ -266,7 +267,8 @@
     def _finish_response(self, data: bytes) -> None:
         self._transport.write(data)
         self._owner = None
-        if not self._is_request_complete():
+        self._discard_received_body()
+        if self._http.their_state is not h11.DONE:
             self._linger()
             return
         if self._http.our_state is not h11.DONE:
@@ -292,22 +294,20 @@
         self._transport.resume_reading()
 
     def _discard_body(self) -> None:
-        while self._http.their_state is h11.SEND_BODY:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-        self._transport.close()
+        self._discard_received_body()
+        if self._http.their_state is not h11.SEND_BODY:
+            self._transport.close()
 
-    def _is_request_complete(self) -> bool:
-        """Return whether the whole request has been read.
+    def _discard_received_body(self) -> None:
+        """Read and discard what has arrived of the request body.
 
-        If the response was sent on the request head alone, the event for the end of
-        the request has not been read yet, so one more event is read here.
+        A request that was answered on its head alone may have arrived whole, and the
+        event for its end is still to be read then.
         """
-        if self._http.their_state is h11.SEND_BODY:
-            with contextlib.suppress(h11.RemoteProtocolError):
-                self._http.next_event()
-        return self._http.their_state is h11.DONE
+        with contextlib.suppress(h11.RemoteProtocolError):
+            while self._http.their_state is h11.SEND_BODY:
+                if self._http.next_event() is h11.NEED_DATA:
+                    return
 
     def _process_events(self) -> None:
         self._processing_events = True
--- a/test/test_caller_limits.py
+++ b/test/test_caller_limits.py
@@ -224,3 +224,44 @@
         assert b"HTTP/1.1 408" in transport.written
 
     on_connection(scenario)
+
+
+@pytest.mark.parametrize("streams", [False, True])
+def test_response_before_the_body_ends_announces_the_close(on_connection, streams):
+    """The next request on the connection was cut."""
+
+    def scenario(connection, service, transport):
+        connection.data_received(head(Content_Length=100))
+        if streams:
+            connection.start_response(200, (Header(b"content-length", b"4"),))
+        else:
+            connection.respond(503, (), b"busy")
+        assert b"connection: close" in transport.written.lower()
+
+    on_connection(scenario)
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        head("GET"),
+        head(Content_Length=60) + b"x" * 60,
+        head(Transfer_Encoding="chunked") + b"14\r\n" + b"x" * 20 + b"\r\n0\r\n\r\n",
+    ],
+    ids=["no body", "length", "chunks"],
+)
+def test_request_refused_when_it_has_arrived_whole_keeps_the_connection(
+    on_connection, request_bytes
+):
+    """The connection was closed without notice, and the next request was cut."""
+
+    def scenario(connection, service, transport):
+        refuse_at_once(service)
+        connection.data_received(request_bytes)
+        connection.data_received(head("GET"))
+        assert len(service.requests) == 2
+        assert transport.written.count(b"HTTP/1.1 503") == 2
+        assert b"connection: close" not in transport.written.lower()
+        assert not transport.closed
+
+    on_connection(scenario)
