A planned stop answers the orders and announcements that it has accepted

Cause: the HTTP servers of control and of nodes were closed at a planned stop, and the exchanges in progress cancelled when the event loop ended. An order that was accepted got no answer, nor did a deregistration; the end of an answer that wasn't sent was dropped.

Change: serve_http returns a server that knows its connections.

--- a/cicadawheel/control/daemon.py
+++ b/cicadawheel/control/daemon.py
@@ -23,7 +23,7 @@
 from cicadawheel.control.state.quarantine import Quarantined
 from cicadawheel.control.status import describe_control
 from cicadawheel.errors import ReplicaRemovedError, StorageFullError
-from cicadawheel.http.exchange import Handler, serve_http
+from cicadawheel.http.exchange import Handler, HttpServer, serve_http
 from cicadawheel.ids import LogIndex, ReplicaId
 from cicadawheel.logs import log_event
 from cicadawheel.operator import ControlStatus
@@ -38,6 +38,8 @@
 MS_PER_S_INT = int(MS_PER_S)
 # Delay before a replica whose disk was full is started again.
 DISK_FULL_RETRY_S = 0.5
+# How long the answers to accepted requests may take at a planned stop.
+EXCHANGES_TIMEOUT_MS = 2_000.0
 
 _decoder = msgspec.msgpack.Decoder(NodeToControl)
 
@@ -145,16 +147,22 @@
         self.supervisor.add("streams", streams.serve_forever)
         self.supervisor.add("operators", operators.serve_forever)
         try:
-            await run_until_stopped(stop, self.supervisor, self._resign)
+            await run_until_stopped(
+                stop, self.supervisor, partial(self._drain, operators)
+            )
         finally:
             streams.close()
             operators.close()
             self.server.close()
 
-    async def _resign(self) -> None:
-        """Transfer the leadership, so that a planned stop needs no election timeout."""
+    async def _drain(self, operators: HttpServer) -> None:
+        """Transfer the leadership and answer the requests that were accepted.
+
+        With a transfer, a planned stop needs no election timeout.
+        """
         if self.durable_log is not None:
             await self.durable_log.resign()
+        await operators.finish(EXCHANGES_TIMEOUT_MS)
 
     def _make_server(self) -> ControlServer:
         control = self.settings.control
--- a/cicadawheel/http/exchange.py
+++ b/cicadawheel/http/exchange.py
@@ -158,43 +158,155 @@
             raise h11.RemoteProtocolError("body is too long", 413)
 
 
-async def serve_http(address: Address, handler: Handler) -> asyncio.Server:
-    """Start an HTTP server; an error in the handler gives a response with status 500.
+class HttpServer:
+    """An HTTP server that can finish its exchanges before it stops.
 
-    Invalid JSON in a request body gives status 400.
+    Parameters
+    ----------
+    handler : callable
+        Handles the requests.
     """
 
-    async def on_connection(reader, writer):
+    def __init__(self, handler: Handler):
+        self.connections: set[ServerConnection] = set()
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._finishing = False
+
+    @property
+    def sockets(self) -> tuple[asyncio.trsock.TransportSocket, ...]:
+        """The listening sockets."""
+        return self._server.sockets
+
+    async def start(self, address: Address) -> None:
+        """Listen on an address."""
+        self._server = await asyncio.start_server(
+            self._on_connection, address.host, address.port
+        )
+
+    async def serve_forever(self) -> None:
+        """Serve until the server is closed."""
+        await self._server.serve_forever()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    async def wait_closed(self) -> None:
+        """Wait until the server has stopped listening."""
+        await self._server.wait_closed()
+
+    async def finish(self, timeout_ms: float) -> bool:
+        """Stop listening and finish the exchanges in progress.
+
+        Idle connections are closed at once. Returns whether all answers were sent
+        within ``timeout_ms``.
+        """
+        self.close()
+        self._finishing = True
+        for connection in self.connections:
+            connection.finish()
+        tasks = [connection.task for connection in self.connections]
+        if not tasks:
+            return True
+        _, pending = await asyncio.wait(tasks, timeout=timeout_ms / MS_PER_S)
+        if pending:
+            log_event(log, "exchanges_unfinished", exchanges=len(pending))
+        return not pending
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = ServerConnection(self._handler, reader, writer)
+        if self._finishing:
+            connection.finish()
+        self.connections.add(connection)
         try:
-            await _serve_connection(handler, reader, writer)
+            await connection.serve()
         except (OSError, TimeoutError, asyncio.CancelledError):
             return
         finally:
+            self.connections.discard(connection)
             writer.close()
 
-    return await asyncio.start_server(on_connection, address.host, address.port)
 
+class ServerConnection:
+    """One connection of a client, with one exchange at a time.
 
-async def _serve_connection(handler, reader, writer) -> None:
-    connection = h11.Connection(h11.SERVER)
-    while True:
+    Parameters
+    ----------
+    handler : callable
+        Handles the requests.
+    reader, writer : StreamReader, StreamWriter
+        The connection; the current task serves it.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ):
+        self.task = asyncio.current_task()
+        self.in_progress = False
+        self._handler = handler
+        self._reader = reader
+        self._writer = writer
+        self._finishing = False
+
+    def finish(self) -> None:
+        """Close the connection now if it is idle, else after the next answer."""
+        self._finishing = True
+        if not self.in_progress:
+            self._writer.close()
+
+    async def serve(self) -> None:
+        """Serve requests until either side closes the connection."""
+        connection = h11.Connection(h11.SERVER)
+        while await self._serve_exchange(connection) and not self._finishing:
+            connection.start_next_cycle()
+        self._writer.close()
+        await self._writer.wait_closed()
+
+    async def _serve_exchange(self, connection: h11.Connection) -> bool:
+        """Serve one request and return whether the connection can be used again."""
         try:
             async with asyncio.timeout(IDLE_TIMEOUT_MS / MS_PER_S):
-                head, content = await _read_message(connection, reader)
+                await self._wait_for_request(connection)
+                head, content = await _read_message(connection, self._reader)
         except h11.RemoteProtocolError as error:
             answer = text_answer(f"{error}\n", error.error_status_hint)
-            writer.write(_encode_answer(connection, answer))
-            return
+            self._send(connection, answer)
+            return False
         if head is None:
-            return
-        answer = await _run_handler(handler, head, content, lambda: _has_ended(reader))
-        writer.write(_encode_answer(connection, answer))
-        await writer.drain()
-        if connection.our_state is not h11.DONE:
-            return
-        if connection.their_state is not h11.DONE:
-            return
-        connection.start_next_cycle()
+            return False
+        answer = await _run_handler(
+            self._handler, head, content, lambda: _has_ended(self._reader)
+        )
+        self._send(connection, answer)
+        await self._writer.drain()
+        return connection.our_state is connection.their_state is h11.DONE
+
+    async def _wait_for_request(self, connection: h11.Connection) -> None:
+        """Wait for the first bytes of a request, or for the connection's end."""
+        received, _ = connection.trailing_data
+        self.in_progress = bool(received)
+        if not received:
+            connection.receive_data(await self._reader.read(READ_SIZE_BYTES))
+            self.in_progress = True
+
+    def _send(self, connection: h11.Connection, answer: HttpAnswer) -> None:
+        self._writer.write(_encode_answer(connection, answer, self._finishing))
+
+
+async def serve_http(address: Address, handler: Handler) -> HttpServer:
+    """Start an HTTP server; an error in the handler gives a response with status 500.
+
+    Invalid JSON in a request body gives status 400.
+    """
+    server = HttpServer(handler)
+    await server.start(address)
+    return server
 
 
 def _has_ended(reader: asyncio.StreamReader) -> bool:
@@ -225,12 +337,16 @@
         return text_answer(f"internal error: {type(error).__name__}\n", 500)
 
 
-def _encode_answer(connection: h11.Connection, answer: HttpAnswer) -> bytes:
+def _encode_answer(
+    connection: h11.Connection, answer: HttpAnswer, closes: bool
+) -> bytes:
     if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return b""
     fields = [("Content-Type", answer.content_type)]
     fields += list(answer.headers.items())
     fields.append(("Content-Length", str(len(answer.body))))
+    if closes:
+        fields.append(("Connection", "close"))
     data = connection.send(h11.Response(status_code=answer.status, headers=fields))
     if answer.body:
         data += connection.send(h11.Data(data=answer.body))
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -28,6 +28,7 @@
     Handler,
     HttpAnswer,
     HttpRequest,
+    HttpServer,
     serve_http,
     text_answer,
 )
@@ -55,6 +56,8 @@
 LEAVE_NOTICE_MS = 300.0
 # Upstreams wait for a second for the answer to a heartbeat.
 DEPARTURE_TIMEOUT_MS = 700.0
+# How long the answers to accepted announcements may take at a planned stop.
+EXCHANGES_TIMEOUT_MS = 200.0
 ANNOUNCEMENT_TIMEOUT_MS = 3.5 * ANNOUNCE_REPEAT_MS
 MEASURE_INTERVAL_MS = 50.0
 # Interval of the check for calls to hedge: a small fraction of the shortest target
@@ -334,7 +337,7 @@
         log_event(log, "node_started", address=self.settings.node.caller_address)
         await run_until_stopped(stop, self.supervisor, partial(self._drain, servers))
 
-    async def _open_servers(self) -> list[asyncio.Server]:
+    async def _open_servers(self) -> list[asyncio.Server | HttpServer]:
         addresses = self.settings.node
         loop = asyncio.get_running_loop()
         head_limit_bytes = self.settings.entry.head_limit_bytes
@@ -366,7 +369,7 @@
             return text_answer("ready\n")
         return text_answer("not ready\n", 503)
 
-    async def _drain(self, servers: list[asyncio.Server]) -> None:
+    async def _drain(self, servers: list[asyncio.Server | HttpServer]) -> None:
         """Refuse new work and wait until peers are notified and all calls have ended.
 
         If a peer stream were closed while a call is still on its way to this node,
@@ -393,8 +396,10 @@
             log_event(log, "drain_timeout", calls=len(self.entry.calls))
         self.links.close()
         self.gate.close()
-        for server in servers[1:]:
-            server.close()
+        servers[1].close()
+        await asyncio.gather(
+            *(server.finish(EXCHANGES_TIMEOUT_MS) for server in servers[2:])
+        )
         log_event(
             log,
             "node_stopped",
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -1,6 +1,7 @@
 """The buffered HTTP client and server, with malformed and truncated messages."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -113,3 +114,126 @@
         (b"x-third", b"3"),
     ]
     assert end_to_end_headers(headers) == (Header(b"x-third", b"3"),)
+
+
+HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n"
+
+
+@pytest.fixture
+def on_held_server():
+    """Return a function that runs work with a server that holds its answers."""
+
+    def run(work):
+        async def main():
+            received, released = asyncio.Event(), asyncio.Event()
+
+            async def hold(request):
+                received.set()
+                await released.wait()
+                return HttpAnswer(200, request.body)
+
+            server = await serve_http(Address("127.0.0.1", 0), hold)
+            address = server.sockets[0].getsockname()
+            try:
+                await work(server, address, received, released)
+            finally:
+                server.close()
+
+        asyncio.run(main())
+
+    return run
+
+
+def test_stop_sends_the_answer_of_an_exchange_in_progress(on_held_server):
+    """The order had been accepted, and its sender got no answer."""
+
+    async def work(server, address, received, released):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(HEAD + b"order")
+        await received.wait()
+        finishing = asyncio.ensure_future(server.finish(10_000.0))
+        await until_refused(address)
+        assert not finishing.done()
+        released.set()
+        data = await reader.read()
+        assert data.startswith(b"HTTP/1.1 200")
+        assert data.endswith(b"order")
+        assert b"connection: close" in data.lower()
+        assert await finishing
+        writer.close()
+
+    on_held_server(work)
+
+
+async def until_refused(address):
+    async with asyncio.timeout(10.0):
+        with contextlib.suppress(ConnectionError):
+            while True:
+                _, writer = await asyncio.open_connection(*address)
+                writer.close()
+
+
+def test_stop_reads_a_request_that_has_begun(on_held_server):
+    """Its sender got no answer."""
+
+    async def work(server, address, received, released):
+        released.set()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(HEAD)
+        await until_begun(server)
+        finishing = asyncio.ensure_future(server.finish(10_000.0))
+        writer.write(b"order")
+        assert (await reader.read()).endswith(b"order")
+        assert await finishing
+        writer.close()
+
+    on_held_server(work)
+
+
+async def until_begun(server):
+    async with asyncio.timeout(10.0):
+        while not any(exchanges.in_progress for exchanges in server.connections):
+            await asyncio.sleep(0)
+
+
+def test_stop_closes_idle_connections_at_once(on_held_server):
+    async def work(server, address, received, released):
+        released.set()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(HEAD + b"order")
+        await reader.readuntil(b"order")
+        async with asyncio.timeout(10.0):
+            assert await server.finish(60_000.0)
+            assert not await reader.read()
+        writer.close()
+
+    on_held_server(work)
+
+
+def test_stop_does_not_wait_for_an_exchange_beyond_its_limit(on_held_server):
+    async def work(server, address, received, released):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(HEAD + b"order")
+        await received.wait()
+        assert not await server.finish(50.0)
+        writer.close()
+
+    on_held_server(work)
+
+
+def test_stop_sends_all_of_a_large_answer(on_held_server):
+    """The end of a dump was cut."""
+
+    async def work(server, address, received, released):
+        body = b"x" * 4_000_000
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(HEAD.replace(b"5", b"%d" % len(body)) + body)
+        await received.wait()
+        released.set()
+        await reader.readuntil(b"\r\n\r\n")
+        finishing = asyncio.ensure_future(server.finish(10_000.0))
+        assert await reader.readexactly(len(body)) == body
+        assert await finishing
+        writer.close()
+
+    on_held_server(work)
