--- a/cicadawheel/control/raft/follower.py
+++ b/cicadawheel/control/raft/follower.py
@@ -128,11 +128,15 @@
         )
         self._chunks.clear()
         self._chunks_source = None
-        self._verified_index = max(self._verified_index, snapshot.index)
-        replaces_log = self.log.term_at(snapshot.index) != snapshot.term
+        # Entries up to the snapshot that aren't durable are never written, and those
+        # on disk in their place must not remain.
+        matches = self.log.term_at(snapshot.index) == snapshot.term
+        replaces_log = not matches or self.log.persisted_index < snapshot.index
         if replaces_log:
+            self._verified_index = snapshot.index
             self.log.reset(snapshot.index, snapshot.term, snapshot.membership)
         else:
+            self._verified_index = max(self._verified_index, snapshot.index)
             self.log.compact(snapshot.index)
         self.apply_queue.restore(snapshot)
         self.durability.add_snapshot(snapshot, replaces_log)
