--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -29,6 +29,7 @@
     Handler,
     HttpAnswer,
     HttpRequest,
+    HttpServer,
     serve_http,
     text_answer,
 )
@@ -54,7 +55,7 @@
 
 BOOT_ID_BYTES = 8
 LEAVE_NOTICE_MS = 300.0
-# How long the last bytes of a planned stop may take to be sent.
+# How long the last answers of a planned stop may take to be sent.
 FLUSH_TIMEOUT_MS = 400.0
 FLUSH_POLL_MS = 10.0
 # Upstreams wait for a second for the answer to a heartbeat.
@@ -338,7 +339,7 @@
         log_event(log, "node_started", address=self.settings.node.caller_address)
         await run_until_stopped(stop, self.supervisor, partial(self._drain, servers))
 
-    async def _open_servers(self) -> list[asyncio.Server]:
+    async def _open_servers(self) -> list[asyncio.Server | HttpServer]:
         addresses = self.settings.node
         loop = asyncio.get_running_loop()
         head_limit_bytes = self.settings.entry.head_limit_bytes
@@ -370,7 +371,7 @@
             return text_answer("ready\n")
         return text_answer("not ready\n", 503)
 
-    async def _drain(self, servers: list[asyncio.Server]) -> None:
+    async def _drain(self, servers: list[asyncio.Server | HttpServer]) -> None:
         """Refuse new work and wait until peers are notified and all calls have ended.
 
         If a peer stream were closed while a call is still on its way to this node,
@@ -399,11 +400,11 @@
                 unsent_bytes=self.unsent_bytes(),
             )
             self.entry.end_calls()
-        await self._flush()
+        exchanges = (server.finish(FLUSH_TIMEOUT_MS) for server in servers[2:])
+        await asyncio.gather(self._flush(), *exchanges)
+        servers[1].close()
         self.links.close()
         self.gate.close()
-        for server in servers[1:]:
-            server.close()
         log_event(
             log,
             "node_stopped",
--- a/cicadawheel/wire/stream.py
+++ b/cicadawheel/wire/stream.py
@@ -99,13 +99,15 @@
         self._buffer = bytearray()
         self._write_queue: list[bytes] = []
         self._flush_scheduled = False
+        self._finishing = False
         self._transport: asyncio.Transport | None = None
         self._error: PeerError | None = None
         self._handshake_timer: asyncio.TimerHandle | None = None
 
     def is_open(self) -> bool:
-        """Return whether the handshake is done and the connection established."""
-        return self.handshake.done and self._transport is not None
+        """Return whether messages can be sent."""
+        open_to_send = self._transport is not None and not self._finishing
+        return self.handshake.done and open_to_send
 
     def send(self, message: Message) -> None:
         """Queue a message; those queued in one event loop iteration share a write.
@@ -140,6 +142,7 @@
         """
         self._flush()
         if self._transport is not None and not self._transport.is_closing():
+            self._finishing = True
             self._transport.write_eof()
 
     def abort(self, error: PeerError) -> None:
