Operators' orders wait 100 ms for the end of their sender's connection

An order that its sender had given up was still proposed if the end of the connection arrived after the confirmed read, which takes a few milliseconds. On a path that only delays (the replica knows the newest state) nothing else stops it, so a late end of an evacuation brought the data centre back in.

Cause: confirm_sender_waits looked once, right after the read. The revision that the order expects doesn't help, as the replica read it when the order arrived.

Change: operators' orders look 100 ms after the order arrived, beside the read. Nodes' registrations look right after the read, as before.

Orders take 100 ms longer.

--- a/cicadawheel/control/command_service.py
+++ b/cicadawheel/control/command_service.py
@@ -26,7 +26,7 @@
     SetDataCentre,
     StartRelease,
 )
-from cicadawheel.control.sender import confirm_sender_waits
+from cicadawheel.control.sender import ORDER_END_WAIT_MS, confirm_sender_waits
 from cicadawheel.control.server import ControlServer
 from cicadawheel.errors import NoQuorumError, StaleCommandError
 from cicadawheel.ids import (
@@ -158,7 +158,7 @@
         """
         rule = self.server.state.configuration.data_centres.get(data_centre)
         known_revision = Revision(0) if rule is None else rule.state_revision
-        await confirm_sender_waits(self.server.log, is_abandoned)
+        await confirm_sender_waits(self.server.log, is_abandoned, ORDER_END_WAIT_MS)
         command = SetDataCentre(
             now_ms=0,
             operation=OperationId(uuid.uuid4().hex),
@@ -224,7 +224,7 @@
             As `propose`.
         """
         now_ms = self.server.clock.unix_ms()
-        await confirm_sender_waits(self.server.log, is_abandoned)
+        await confirm_sender_waits(self.server.log, is_abandoned, ORDER_END_WAIT_MS)
         known = self.server.state.configuration.release_of(service)
         is_same = known is not None and known.version == version
         if is_same and now_ms - known.started_at_ms < max(RETRY_WINDOW_MS, duration_ms):
--- a/cicadawheel/control/operators.py
+++ b/cicadawheel/control/operators.py
@@ -19,7 +19,7 @@
 from cicadawheel.control.metrics import ControlMetrics
 from cicadawheel.control.replicas import change_replicas
 from cicadawheel.control.replication import ReplicatedLog
-from cicadawheel.control.sender import confirm_sender_waits
+from cicadawheel.control.sender import ORDER_END_WAIT_MS, confirm_sender_waits
 from cicadawheel.control.server import ControlServer
 from cicadawheel.control.state import ControlState
 from cicadawheel.errors import (
@@ -125,9 +125,14 @@
         body = prometheus_client.generate_latest(self.daemon.metrics.registry)
         return HttpAnswer(STATUS_DONE, body, prometheus_client.CONTENT_TYPE_LATEST)
 
+    async def _confirm_sender_waits(self, request: HttpRequest) -> None:
+        await confirm_sender_waits(
+            self.daemon.server.log, request.is_abandoned, ORDER_END_WAIT_MS
+        )
+
     async def _change_replicas(self, request: HttpRequest) -> HttpAnswer:
         change = msgspec.json.decode(request.body, type=ReplicaChange)
-        await confirm_sender_waits(self.daemon.server.log, request.is_abandoned)
+        await self._confirm_sender_waits(request)
         revision = self.daemon.state.configuration.revision
         outcome = await change_replicas(self.daemon.durable_log, change, revision)
         log_event(
@@ -175,7 +180,7 @@
         now_ms = self.daemon.server.clock.unix_ms()
         command = msgspec.structs.replace(command, now_ms=now_ms)
         try:
-            await confirm_sender_waits(self.daemon.server.log, request.is_abandoned)
+            await self._confirm_sender_waits(request)
             outcome = await self._check_capacity(command)
             if outcome is None:
                 outcome = await self.daemon.server.log.propose(command)
--- a/cicadawheel/control/sender.py
+++ b/cicadawheel/control/sender.py
@@ -5,10 +5,14 @@
 
 from cicadawheel.control.log import CommandLog
 from cicadawheel.errors import StaleCommandError
+from cicadawheel.timer import MS_PER_S
+
+ORDER_END_WAIT_MS = 100.0
+"""How much later than an operator's order the end of its connection may arrive."""
 
 
 async def confirm_sender_waits(
-    log: CommandLog, is_abandoned: Callable[[], bool]
+    log: CommandLog, is_abandoned: Callable[[], bool], end_wait_ms: float = 0.0
 ) -> None:
     """Check that the sender of a command still waits for its outcome.
 
@@ -16,6 +20,8 @@
     up, sent to another replica, and taken back since. On return, this replica has
     applied every command that was acknowledged before the call.
 
+    The end of a sender's connection may arrive up to ``end_wait_ms`` after the command.
+
     Raises
     ------
     StaleCommandError
@@ -23,8 +29,7 @@
     NotLeaderError, NoQuorumError
         A linearizable read could not be confirmed.
     """
-    # The end of the connection is read after the command.
-    await asyncio.sleep(0)
-    await log.confirm_read()
+    # Even an end that arrived with the command is read after it.
+    await asyncio.gather(asyncio.sleep(end_wait_ms / MS_PER_S), log.confirm_read())
     if is_abandoned():
         raise StaleCommandError("the sender has left", step="propose")
