Soak: disks that stall for long, evacuations that outlast the stretched bound

The soak couldn't see that an evacuation wasn't in force at nodes of a replica whose disk stalls: no fault stalled a disk, evacuations ended before the bound of 10 s, and late work wasn't counted while any replica was disturbed.

Change: `bench soak` draws stalled disks and evacuations of 12 s more than other faults; late work counts after 10 s while most replicas are undisturbed; what control says at the end of an evacuation is compared with the order.

--- a/bench/history.py
+++ b/bench/history.py
@@ -17,11 +17,15 @@
 
 
 class OutPeriod(msgspec.Struct, frozen=True):
-    """A period in which a data centre was out, in Unix time."""
+    """A period in which a data centre was out, in Unix time.
+
+    With ``lost`` set, control said at the end that the data centre was in.
+    """
 
     data_centre: str
     from_ms: int
     to_ms: int
+    lost: bool = False
 
     def late_work(self, records: list[Record], grace_ms: int) -> int:
         """Return how many requests began in the data centre after the grace period."""
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -14,14 +14,20 @@
     Slowed,
     Stopped,
     TakenOut,
+    set_data_centre,
 )
 from bench.faultproxy import Direction, FaultProxy, Faults
 from bench.history import OutPeriod
 from bench.machine import MachineFaults, lose_power
+from bench.pacing import unix_ms
 from bench.places import NodePlace
 from bench.process import Process
 from bench.progress import report
+from bench.soak.promises import ALL_REPLICAS
 from bench.soak.site import ReplicaMachine, SoakSite
+from cicadawheel.configuration import DataCentreState
+from cicadawheel.errors import CicadawheelError
+from cicadawheel.ids import DataCentreName
 
 NO_CONNECTION_FAULTS = Faults()
 NO_MACHINE_FAULTS = MachineFaults()
@@ -33,6 +39,12 @@
     Faults(refuse=True),
 )
 DISK_FAULTS = (MachineFaults(sync_delay_ms=200.0), MachineFaults(full=True))
+STALLED_DISK = MachineFaults(stalled=True)
+LONG_FAULT_S = 12.0
+"""Added to the duration of stalled disks and evacuations, which then outlasts the bound
+that `bench.soak.promises` allows for evacuations beside disturbed replicas."""
+LONG_SHARE = 0.25
+ORDER_TRIES = 5
 CLOCK_STEPS_MS = (-60_000, -2_000, 2_000, 60_000)
 SERIES_PAUSE_S = (0.1, 1.0)
 SERIES_SIZE = 3
@@ -79,6 +91,47 @@
         self.machine.faults.write(NO_MACHINE_FAULTS)
 
 
+class DiskStalled(MachineFaulted, frozen=True):
+    """No sync of a replica's disk ends for a long time."""
+
+    async def run(self, lasts_s: float) -> None:
+        """Stall the disk for `LONG_FAULT_S` more than ``lasts_s``."""
+        await super().run(lasts_s + LONG_FAULT_S)
+
+
+class LongOut(TakenOut, frozen=True):
+    """A data centre is taken out for a long time, and back in."""
+
+    async def run(self, lasts_s: float) -> None:
+        """Take the data centre out for `LONG_FAULT_S` more than ``lasts_s``."""
+        await self._order(DataCentreState.OUT)
+        out_ms = unix_ms()
+        await asyncio.sleep(lasts_s + LONG_FAULT_S)
+        lost = await self._is_lost()
+        back_ms = unix_ms()
+        self.periods.append(OutPeriod(self.data_centre, out_ms, back_ms, lost))
+        await self._order(DataCentreState.IN)
+
+    async def _order(self, state: DataCentreState) -> None:
+        """Send an order, again if another operator's change came first."""
+        for number in range(ORDER_TRIES):
+            try:
+                await set_data_centre(self.deployment, self.data_centre, state)
+                return
+            except CicadawheelError as error:
+                if number == ORDER_TRIES - 1:
+                    raise
+                report("order_failed", data_centre=self.data_centre, reason=error)
+
+    async def _is_lost(self) -> bool:
+        try:
+            newest = await self.deployment.configuration()
+        except CicadawheelError as error:
+            report("soak_control_silent", reason=error)
+            return False
+        return newest.takes_new_work(DataCentreName(self.data_centre))
+
+
 class PowerLost(msgspec.Struct, frozen=True):
     """Cuts the power of replicas simultaneously, so that unsynced data is lost."""
 
@@ -87,9 +140,9 @@
 
     @property
     def place(self) -> str:
-        """The name of the replica, or ``control-all`` for more than one."""
+        """The name of the replica, or `ALL_REPLICAS` for more than one."""
         if len(self.machines) > 1:
-            return "control-all"
+            return ALL_REPLICAS
         return self.machines[0].replica.name
 
     async def run(self, lasts_s: float) -> None:
@@ -159,6 +212,18 @@
     return rng.choice(makers)()
 
 
+def draw_long_fault(
+    site: SoakSite, periods: list[OutPeriod], rng: random.Random
+) -> Disturbance:
+    """Return a random fault, more often one that lasts long."""
+    if rng.random() >= LONG_SHARE:
+        return draw_fault(site, periods, rng)
+    data_centre = rng.choice(site.deployment.topology.data_centres)
+    if rng.random() < 0.5:
+        return LongOut(site.deployment, data_centre, periods)
+    return DiskStalled(rng.choice(site.machines), STALLED_DISK)
+
+
 def _draw_connection_fault(
     site: SoakSite, node: NodePlace, machine: ReplicaMachine, rng: random.Random
 ) -> WaysFaulted:
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -11,19 +11,24 @@
 from bench.load_result import LoadResult, LostAttempt
 from bench.places import NodePlace
 from bench.record import Record, RecordKind, count_kind
-from bench.scheduler import StartedDisturbance
+from bench.scheduler import CONTROL_PREFIX, StartedDisturbance
 
 QUIET_MS = 3_000
 """How long the effects of a fault may last after its end."""
 
+STRETCHED_GRACE_MS = 10_000
+"""How soon an evacuation is in force while a minority of the replicas is disturbed."""
+
+ALL_REPLICAS = "control-all"
 PLANNED = ("Stopped", "Rolled")
 
 
 class Promises(msgspec.Struct, frozen=True):
     """The number of violations of each invariant.
 
-    Late work counts only at upstreams whose node was undisturbed throughout. An answer
-    cut off by a planned stop counts only if no fault occurred around that time.
+    Late work counts only at upstreams whose node was undisturbed throughout, and so
+    were all replicas, or most of them for ``late_work_out_stretched``. An answer cut
+    off by a planned stop counts only if no fault occurred around that time.
     ``held`` counts calls without an answer one second after their deadline, at
     undisturbed entries.
     """
@@ -32,6 +37,8 @@
     ran_twice: int = 0
     refused_but_ran: int = 0
     late_work_out: int = 0
+    late_work_out_stretched: int = 0
+    evacuations_lost: int = 0
     late_work_leaving: int = 0
     crash_excess: int = 0
     overloads: int = 0
@@ -60,6 +67,8 @@
         All disturbances so far.
     periods : list of OutPeriod
         The periods in which data centres were out.
+    replicas : int
+        The number of control replicas.
     """
 
     def __init__(
@@ -67,10 +76,12 @@
         nodes: list[NodePlace],
         troubles: list[StartedDisturbance],
         periods: list[OutPeriod],
+        replicas: int,
     ):
         self._nodes = nodes
         self._troubles = troubles
         self._periods = periods
+        self._replicas = replicas
         self._places = {place.options.upstream: place for place in nodes}
 
     def check(self, result: LoadResult, records: list[Record]) -> Promises:
@@ -85,6 +96,8 @@
             late_work_out=sum(
                 period.late_work(in_touch, LATE_GRACE_MS) for period in self._periods
             ),
+            late_work_out_stretched=self._count_late_out_stretched(records),
+            evacuations_lost=sum(period.lost for period in self._periods),
             late_work_leaving=count_late_leaving(in_touch),
             crash_excess=history.crash_excess,
             overloads=count_kind(records, RecordKind.OVERLOAD),
@@ -103,13 +116,39 @@
         since_ms = record.at_ms - LATE_GRACE_MS - QUIET_MS
         return not self._is_disturbed(place, since_ms, record.at_ms)
 
+    def _count_late_out_stretched(self, records: list[Record]) -> int:
+        late = [
+            record
+            for record in records
+            for period in self._periods
+            if period.late_work([record], STRETCHED_GRACE_MS)
+        ]
+        return sum(map(self._is_in_touch_with_most, late))
+
+    def _is_in_touch_with_most(self, record: Record) -> bool:
+        """Return whether a record's node and most replicas were undisturbed."""
+        place = self._places[record.upstream]
+        since_ms = record.at_ms - STRETCHED_GRACE_MS - QUIET_MS
+        places = self._disturbed_places(since_ms, record.at_ms)
+        replicas = {name for name in places if name.startswith(CONTROL_PREFIX)}
+        return (
+            not places.intersection(_names(place))
+            and ALL_REPLICAS not in replicas
+            and len(replicas) < self._replicas / 2
+        )
+
     def _is_disturbed(self, place: NodePlace, from_ms: int, to_ms: int) -> bool:
-        names = (place.name, place.options.upstream)
-        return any(
-            trouble.place in names or trouble.place.startswith("control-")
+        places = self._disturbed_places(from_ms, to_ms)
+        return bool(places.intersection(_names(place))) or any(
+            name.startswith(CONTROL_PREFIX) for name in places
+        )
+
+    def _disturbed_places(self, from_ms: int, to_ms: int) -> set[str]:
+        return {
+            trouble.place
             for trouble in self._troubles
             if trouble.overlaps(from_ms, to_ms)
-        )
+        }
 
     def _is_cut(self, lost: LostAttempt, ran: set[str]) -> bool:
         """Return whether a planned stop cut off a call that had reached an upstream."""
@@ -126,3 +165,8 @@
         place = self._nodes[lost.entry]
         since_ms = lost.began_ms - QUIET_MS
         return not self._is_disturbed(place, since_ms, lost.ended_ms)
+
+
+def _names(place: NodePlace) -> tuple[str, str]:
+    """Return the names under which disturbances of a node and its upstream run."""
+    return (place.name, place.options.upstream)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -17,7 +17,7 @@
 from bench.progress import report
 from bench.record import read_records
 from bench.scheduler import SchedulePlan, Scheduler
-from bench.soak.faults import draw_fault
+from bench.soak.faults import draw_fault, draw_long_fault
 from bench.soak.operators import Operators
 from bench.soak.promises import InvariantChecker, Promises
 from bench.soak.site import SoakSite, soak_topology
@@ -37,11 +37,16 @@
 
 
 class SoakPlan(msgspec.Struct, frozen=True):
-    """The parameters of one soak."""
+    """The parameters of one soak.
+
+    With ``long_faults`` set, some disks stall, and some data centres are out, for
+    longer than an evacuation may take to be in force beside disturbed replicas.
+    """
 
     seed: int
     nodes: int = 8
     duration_s: float = 20.0
+    long_faults: bool = False
 
 
 class SoakResult(msgspec.Struct, frozen=True):
@@ -108,8 +113,11 @@
 async def _disturb(site: SoakSite, plan: SoakPlan) -> SoakResult:
     rng = random.Random(plan.seed)
     periods: list[OutPeriod] = []
-    scheduler = Scheduler(SCHEDULE, partial(draw_fault, site, periods, rng), rng)
-    checker = InvariantChecker(site.deployment.nodes, scheduler.troubles, periods)
+    draw = draw_long_fault if plan.long_faults else draw_fault
+    scheduler = Scheduler(SCHEDULE, partial(draw, site, periods, rng), rng)
+    checker = InvariantChecker(
+        site.deployment.nodes, scheduler.troubles, periods, len(site.machines)
+    )
     operators = Operators(site.deployment, random.Random(plan.seed))
     watch = RevisionWatch(site.deployment)
     load = Load(_plan_load(site, "soak", plan.duration_s * MS_PER_S, plan.seed))
--- a/bench/ui.py
+++ b/bench/ui.py
@@ -126,7 +126,12 @@
         first = int(self.option("seed"))
         keep = self.option("keep")
         plans = [
-            SoakPlan(seed, int(self.option("nodes")), float(self.option("seconds")))
+            SoakPlan(
+                seed,
+                int(self.option("nodes")),
+                float(self.option("seconds")),
+                long_faults=True,
+            )
             for seed in range(first, first + int(self.option("seeds")))
         ]
         return run_soaks(plans, Path(keep) if keep else None)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -11,10 +11,10 @@
 from bench.machine import BLOCK_BYTES, FaultFile, MachineFaults, lose_power
 from bench.record import Record, RecordKind
 from bench.scheduler import StartedDisturbance
-from bench.soak.promises import InvariantChecker, Promises
+from bench.soak.promises import ALL_REPLICAS, InvariantChecker, Promises
 from bench.soak.run import SoakPlan, run_soak
 from bench.soak.seeds import BROKEN_SEEDS
-from bench.soak.site import soak_topology
+from bench.soak.site import REPLICAS, soak_topology
 
 SHORT_S = 6.0
 
@@ -74,9 +74,8 @@
 def check(nodes, troubles, periods=(), records=(), lost=()):
     result = LoadResult("load")
     result.lost += lost
-    return InvariantChecker(nodes, list(troubles), list(periods)).check(
-        result, list(records)
-    )
+    checker = InvariantChecker(nodes, list(troubles), list(periods), REPLICAS)
+    return checker.check(result, list(records))
 
 
 def test_late_work_counts_at_undisturbed_nodes_only(nodes):
@@ -89,6 +88,30 @@
     assert check(nodes, [other], [period], [late]).late_work_out == 1
 
 
+def test_late_work_counts_beside_disturbed_replicas_while_most_are_not(nodes):
+    period = OutPeriod(nodes[0].data_centre, 10_000, 60_000)
+    late = make_run(nodes, 21_000)
+    early = make_run(nodes, 19_000)
+    stalls = [
+        StartedDisturbance("DiskStalled", f"control-{number}", 9_000, 40_000)
+        for number in (1, 2, 3)
+    ]
+    counts = check(nodes, stalls[:2], [period], [early, late])
+    assert (counts.late_work_out, counts.late_work_out_stretched) == (0, 1)
+    assert check(nodes, stalls, [period], [late]).late_work_out_stretched == 0
+    power = StartedDisturbance("PowerLost", ALL_REPLICAS, 15_000, 16_000)
+    assert check(nodes, [power], [period], [late]).late_work_out_stretched == 0
+    frozen = StartedDisturbance("Frozen", nodes[0].name, 15_000, 16_000)
+    assert check(nodes, [frozen], [period], [late]).late_work_out_stretched == 0
+
+
+def test_evacuation_that_control_has_lost_is_counted(nodes):
+    kept = OutPeriod(nodes[0].data_centre, 10_000, 20_000)
+    lost = msgspec.structs.replace(kept, lost=True)
+    assert check(nodes, [], [kept]).evacuations_lost == 0
+    assert check(nodes, [], [kept, lost]).evacuations_lost == 1
+
+
 def test_cut_off_answers_count_only_if_a_planned_stop_is_the_sole_cause(nodes):
     lost = LostAttempt("x.0", 0, 20_000, 20_400, timed_out=False)
     ran = make_run(nodes, 20_100, attempt="x.0")
