A request that has arrived when its connection is to close is answered

Cause: at the end of a stop's notice idle connections are closed at once, also those whose next request the kernel had, but the event loop hadn't read. On a busy machine a turn of the event loop takes 100 ms or more, so that callers saw a request end without an answer long after its last byte was sent.

Change: such a connection is closed after the answer to its request, which announces it.

Excluded: waiting for one more turn of the event loop; what arrives in that turn is lost as before.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import select
 import socket
 from enum import Enum
 from typing import Protocol
@@ -286,10 +287,19 @@
             self._close_if_idle()
 
     def _close_if_idle(self) -> None:
-        idle = self.state is ConnectionState.IDLE
-        if idle and self._closes_when_idle and self._transport is not None:
+        """Close the connection if it has no call, unless bytes of a request arrived."""
+        if not self._closes_when_idle or self.state is not ConnectionState.IDLE:
+            return
+        if self._transport is not None and not self._has_unread_bytes():
             self._transport.close()
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether the kernel has bytes that the event loop hasn't read yet."""
+        poll = select.poll()
+        sock = self._transport.get_extra_info("socket")
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _linger(self) -> None:
         """Discard the unread rest of a request body before closing the connection.
 
--- a/test/test_caller_limits.py
+++ b/test/test_caller_limits.py
@@ -1,6 +1,7 @@
 """Size limits and timeouts of callers' connections, and early responses."""
 
 import asyncio
+import os
 
 import pytest
 
@@ -265,3 +266,33 @@
         assert not transport.closed
 
     on_connection(scenario)
+
+
+def test_request_that_arrived_before_the_close_is_answered():
+    """The event loop had not read it yet, and the connection was reset."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        service, opened = Service(), []
+        refuse_at_once(service)
+        server = await loop.create_server(
+            lambda: opened.append(CallerConnection(service, 16_384)) or opened[-1],
+            "127.0.0.1",
+            0,
+        )
+        address = server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(head("GET"))
+        await reader.readuntil(b"busy")
+        sock = writer.get_extra_info("socket")
+        # Without a turn of the event loop in between.
+        assert os.write(sock.fileno(), head("GET")) == len(head("GET"))
+        opened[0].close_when_idle()
+        data = await reader.read()
+        writer.close()
+        server.close()
+        return data
+
+    data = asyncio.run(main())
+    assert data.startswith(b"HTTP/1.1 503")
+    assert b"connection: close" in data.lower()
