Test: disks and all power lost while a replica is being replaced

Two lost disks while all other machines lose power were played with both disks lost at once, before a replacement. The new test loses one disk, goes on with commands for up to 400 ms of its replacement, with writes of up to 15 ms, and then loses all power and one more disk, or two more if the replacement was committed.

--- a/test/test_voters.py
+++ b/test/test_voters.py
@@ -129,6 +129,13 @@
         membership = self.rafts[leader].membership
         return sorted(membership.voters()) == sorted(self.names.values())
 
+    def is_settled(self):
+        """Return whether the repair is committed, so that two more disks may fail."""
+        if not self.is_repaired():
+            return False
+        raft = self.rafts[self.leader()]
+        return raft.log.membership_index <= raft.commit_index
+
 
 def inject_fault(site, number):
     """Wipe, kill or partition two hosts, or kill all, with or without wiping two."""
@@ -173,3 +180,58 @@
         leader = site.leader()
         held = [text for text in site.applied[leader] if text in acknowledged]
         assert held == acknowledged
+
+
+def replace_and_lose_more(site, number):
+    """Lose a disk and, while it is replaced, all power and another disk or two.
+
+    Returns the commands that were acknowledged meanwhile.
+    """
+    rng = site.random
+    first, second, third = rng.sample(HOSTS, 3)
+    site.lose_disk(first, f"{number}a")
+    proposed = []
+    for turn in range(rng.randrange(80)):
+        site.pass_time(5)
+        site.join()
+        leader = site.leader()
+        if leader is not None and rng.random() < 0.2:
+            text = f"{number}/{turn}".encode()
+            raft = site.rafts[leader]
+            proposed.append((raft, raft.term, raft.propose(text), text))
+    acknowledged = [
+        text
+        for raft, term, index, text in proposed
+        if raft in site.rafts.values()
+        and (raft.term, raft.leadership is not None) == (term, True)
+        and raft.commit_index >= index
+    ]
+    lost = [second, third] if site.is_settled() else [second]
+    down = list(site.rafts)
+    for name in down:
+        site.stop(name)
+    for host in lost:
+        site.lose_disk(host, f"{number}b")
+    site.run_for(rng.choice([0, 300]))
+    for name in down:
+        if name in site.names.values() and name not in site.rafts:
+            site.start(name)
+    return acknowledged
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_acknowledged_commands_survive_lost_disks_during_a_replacement(seed):
+    site = Site(seed)
+    site.write_ms = (0.0, 15.0)
+    site.elect()
+    acknowledged = []
+    for number in range(STEPS):
+        acknowledged += replace_and_lose_more(site, number)
+        for _ in range(100):
+            site.run_for(200)
+            if site.is_repaired():
+                break
+        assert site.is_repaired()
+        held = [text for text in site.applied[site.leader()] if text in acknowledged]
+        assert held == acknowledged
+    assert acknowledged
