--- a/cicadawheel/control/server.py
+++ b/cicadawheel/control/server.py
@@ -36,6 +36,7 @@
 HEARTBEAT_INTERVAL_MS = 250.0
 LEASE_CHECKS_PER_LEASE = 6
 APPLY_LAG_LIMIT_ELECTIONS = 2
+"""Election timeouts after which a committed entry must have been applied."""
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(ReplicaReport)
