A stop answers orders and announcements that have arrived unread

Cause: as for callers: a stop of control's or a node's HTTP server closed connections as idle whose request the kernel had, but the event loop hadn't read.

Change: such a connection is closed after its answer. The check is one function now.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import logging
-import select
 import socket
 from enum import Enum
 from typing import Protocol
@@ -17,6 +16,7 @@
     content_length,
     read_request,
 )
+from cicadawheel.http.unread import has_unread_bytes
 from cicadawheel.logs import log_event
 from cicadawheel.messages import Header
 from cicadawheel.timer import MS_PER_S
@@ -290,16 +290,9 @@
         """Close the connection if it has no call, unless bytes of a request arrived."""
         if not self._closes_when_idle or self.state is not ConnectionState.IDLE:
             return
-        if self._transport is not None and not self._has_unread_bytes():
+        if self._transport is not None and not has_unread_bytes(self._transport):
             self._transport.close()
 
-    def _has_unread_bytes(self) -> bool:
-        """Return whether the kernel has bytes that the event loop hasn't read yet."""
-        poll = select.poll()
-        sock = self._transport.get_extra_info("socket")
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
     def _linger(self) -> None:
         """Discard the unread rest of a request body before closing the connection.
 
--- a/cicadawheel/http/exchange.py
+++ b/cicadawheel/http/exchange.py
@@ -13,6 +13,7 @@
 
 from cicadawheel.errors import CicadawheelError, ConnectionLostError, ProtocolError
 from cicadawheel.http.fields import END_OF_MESSAGE
+from cicadawheel.http.unread import has_unread_bytes
 from cicadawheel.logs import log_event
 from cicadawheel.settings import Address
 from cicadawheel.timer import MS_PER_S
@@ -204,6 +205,8 @@
         """
         self.close()
         self._finishing = True
+        # Connections notice bytes that were read for them in the next turn.
+        await asyncio.sleep(0)
         for connection in self.connections:
             connection.finish()
         tasks = [connection.task for connection in self.connections]
@@ -257,7 +260,7 @@
     def finish(self) -> None:
         """Close the connection now if it is idle, else after the next answer."""
         self._finishing = True
-        if not self.in_progress:
+        if not self.in_progress and not has_unread_bytes(self._writer):
             self._writer.close()
 
     async def serve(self) -> None:
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 
 import pytest
 
@@ -237,3 +238,21 @@
         writer.close()
 
     on_held_server(work)
+
+
+def test_stop_answers_a_request_that_has_arrived(on_held_server):
+    """The event loop had not read it yet, and its connection was reset."""
+
+    async def work(server, address, received, released):
+        released.set()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(HEAD + b"first")
+        await reader.readuntil(b"first")
+        sock = writer.get_extra_info("socket")
+        # Without a turn of the event loop in between.
+        assert os.write(sock.fileno(), HEAD + b"order") == len(HEAD + b"order")
+        assert await server.finish(10_000.0)
+        assert (await reader.read()).endswith(b"order")
+        writer.close()
+
+    on_held_server(work)
