A message of a peer doesn't cut a stream that is being finished

Ends of answers from the gate of a stopping node to other nodes could be dropped.

Cause: Stream.finish makes the stream refuse to send. Replies to probes and to requests for the view raised for it, as these don't look whether it is open, and an error while a message is handled aborts the stream. Streams that peers open after the end of the others weren't ended, so the stop waited 400 ms for them.

Excluded: calls that arrive meanwhile; their refusals are left out already.

Change: replies to a peer are left out once its stream is being finished; a stream that opens after that is finished at once.

--- a/cicadawheel/gate/server.py
+++ b/cicadawheel/gate/server.py
@@ -30,6 +30,7 @@
     ViewRequest,
 )
 from cicadawheel.settings import Address
+from cicadawheel.wire.message import Message
 from cicadawheel.wire.stream import Identity, Stream, serve_streams
 
 log = logging.getLogger(__name__)
@@ -47,6 +48,13 @@
 
     def __init__(self):
         self.open: set[Stream] = set()
+        self._finishing = False
+
+    def add(self, stream: Stream) -> None:
+        """Add an open stream; it ends at once if the others were finished."""
+        self.open.add(stream)
+        if self._finishing:
+            stream.finish()
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes not yet passed to the kernel."""
@@ -54,6 +62,7 @@
 
     def finish(self) -> None:
         """End the streams; each closes once its peer has got all messages."""
+        self._finishing = True
         for stream in list(self.open):
             stream.finish()
 
@@ -81,9 +90,9 @@
     def stream_opened(self, stream: Stream) -> None:
         """Subscribe the peer to the gate's load and send the current one."""
         self._stream = stream
-        self.streams.open.add(stream)
         self.gate.publisher.listeners.add(self._push_load)
         stream.send(ProbeReply(StreamId(0), self.gate.load()))
+        self.streams.add(stream)
         log_event(log, "peer_connected", peer=stream.peer)
 
     def message_received(self, stream: Stream, message: PeerMessage) -> None:
@@ -91,7 +100,7 @@
         if isinstance(message, CallOpen):
             self._open(stream, message)
         elif isinstance(message, Probe):
-            stream.send(ProbeReply(message.stream, self.gate.load()))
+            _send(stream, ProbeReply(message.stream, self.gate.load()))
         elif isinstance(message, CrashNotice):
             self.gate.guard.notice_received(message)
         elif isinstance(message, ViewRequest):
@@ -122,22 +131,19 @@
         """Refuse a call after an unexpected error, so that the others can go on."""
         log_event(log, "call_failed", traceback=True, request=call.request)
         refused = Refused(call.stream, RefusalReason.CANCELLED, False, self.gate.load())
-        if stream.is_open():
-            stream.send(refused)
+        _send(stream, refused)
 
     def _push_load(self, load: LoadReport) -> None:
-        if self._stream.is_open():
-            self._stream.send(ProbeReply(StreamId(0), load))
+        _send(self._stream, ProbeReply(StreamId(0), load))
 
     def _send_view(self, stream: Stream, request: ViewRequest) -> None:
         view = self.get_view()
         if view.index > request.index:
-            stream.send(ViewReply(view))
+            _send(stream, ViewReply(view))
 
     def _open(self, stream: Stream, call: CallOpen) -> None:
         def sink(message: ReplyMessage) -> None:
-            if stream.is_open():
-                stream.send(message)
+            _send(stream, message)
             gate_call = self._calls.get(call.stream)
             if gate_call is not None and gate_call.state is CallState.ENDED:
                 del self._calls[call.stream]
@@ -151,6 +157,12 @@
             self._calls[call.stream] = gate_call
 
 
+def _send(stream: Stream, message: Message) -> None:
+    """Send a message, unless the stream has closed or is being finished."""
+    if stream.is_open():
+        stream.send(message)
+
+
 async def serve_peers(
     address: Address,
     identity: Identity,
