Failing test: a replica whose disk stalls keeps a leader that it doesn't hear

Found by reading: while a write takes longer than four election timeouts, or while its vote isn't durable, a follower doesn't act on its election timeout, and so doesn't clear its leader either. If it is cut off from the others then, it hears of no newer entries, has no lag, and tells its nodes that their view is current.

--- a/test/test_apply_lag.py
+++ b/test/test_apply_lag.py
@@ -1,8 +1,10 @@
 """A replica knows how long it has been behind what its leader has committed."""
 
-from raft_shuttle import others, propose
+from raft_shuttle import RaftCluster, others, propose
 
 BEHIND_MS = 300.0
+LONG_MS = 1_000.0
+"""Ten election timeouts."""
 ANNOUNCED_MS = 40.0
 """Two heartbeats: by then a replica knows what is committed."""
 
@@ -44,3 +46,32 @@
     trio.pass_time(BEHIND_MS)
     assert trio.rafts[unheard].leader == leader
     assert lags_ms(trio)[unheard] >= BEHIND_MS - ANNOUNCED_MS
+
+
+def test_replica_with_a_stalled_disk_that_hears_no_leader_has_none(trio):
+    # It told its nodes that their view was current for as long as the disk stalled.
+    leader = trio.elect()
+    stalled, _ = others(trio, leader)
+    trio.slow_disks.add(stalled)
+    propose(trio, leader, b"x")
+    trio.pass_time(LONG_MS)
+    assert trio.rafts[stalled].leader == leader
+    trio.partitioned.add(stalled)
+    trio.pass_time(LONG_MS)
+    assert trio.rafts[stalled].leader is None
+
+
+def test_replica_that_cannot_write_its_vote_and_hears_no_leader_has_none():
+    # It told its nodes that their view was current for as long as the disk stalled.
+    cluster = RaftCluster("a", "b", "c", "d", "e")
+    first = cluster.elect()
+    stalled = others(cluster, first)[0]
+    cluster.slow_disks.add(stalled)
+    cluster.partitioned.add(first)
+    cluster.pass_time(LONG_MS)
+    second = cluster.leaders()[-1]
+    assert second not in (first, stalled)
+    assert cluster.rafts[stalled].leader == second
+    cluster.partitioned.add(stalled)
+    cluster.pass_time(LONG_MS)
+    assert cluster.rafts[stalled].leader is None
