A replica whose disk stalls clears a leader that it doesn't hear

Nodes could keep an old view for as long as the disk of their replica stalled, if the replica was cut off from the other replicas as well.

Cause: while a write takes longer than four election timeouts, or a vote isn't durable, the election timeout isn't handled, as no election could be won. The leader was cleared there only, so the replica went on saying that it hears one. Its lag doesn't tell either: it hears of nothing that it lacks.

Excluded: a cut without a stalled write; the election timeout clears the leader.

Change: in both cases a leader that hasn't been heard for an election timeout is cleared, without an election.

Measured: both new cases of test_apply_lag.py failed before. They pass, and so do test_raft.py, test_raft_faults.py, test_raft_membership.py, test_replication.py, test_snapshot_install.py and test_voters.py, once each. Not run with real processes.

--- a/cicadawheel/control/raft/core.py
+++ b/cicadawheel/control/raft/core.py
@@ -127,8 +127,11 @@
         elif self._is_vote_write_pending():
             # Otherwise a disk write slower than the election timeout would abort
             # every election.
+            self._clear_silent_leader(now_ms)
             self._election.restart_timeout(now_ms)
-        elif self._election.is_due(now_ms) and not stalled:
+        elif stalled:
+            self._clear_silent_leader(now_ms)
+        elif self._election.is_due(now_ms):
             self._handle_election_timeout(now_ms)
 
     def receive(self, peer: ReplicaId, message: RaftMessage, now_ms: float) -> None:
@@ -287,6 +290,11 @@
         elif self.leader is not None:
             self._become_follower(self.term, None, "no leader heard", now_ms)
 
+    def _clear_silent_leader(self, now_ms: float) -> None:
+        """Clear a leader that isn't heard, without starting an election."""
+        if self.leader is not None and not self._election.has_recent_leader(now_ms):
+            self._become_follower(self.term, None, "no leader heard", now_ms)
+
     def _begin_pre_vote(self, now_ms: float) -> None:
         again = self.role is Role.PRE_CANDIDATE
         self.role = Role.PRE_CANDIDATE
