A peer that has reset its stream doesn't end a planned stop

A stopping node could end with an error before it had sent its last bytes.

Cause: sending the end of a stream fails where the peer has reset the connection and the event loop hasn't read that yet. The error ended the stop: the other streams weren't ended, and what callers and peers were still to get was dropped.

Excluded: streams with bytes to send; their end is sent by the transport later.

Change: such a stream is aborted as lost.

Measured: the new case of test_finished_streams.py failed before (ENOTCONN); it, test_wire.py and test_planned_stop.py pass, once each.

--- a/cicadawheel/wire/stream.py
+++ b/cicadawheel/wire/stream.py
@@ -141,9 +141,14 @@
         sent is lost.
         """
         self._flush()
-        if self._transport is not None and not self._transport.is_closing():
-            self._finishing = True
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._finishing = True
+        try:
             self._transport.write_eof()
+        except OSError as error:
+            # The peer has reset the connection, which isn't read yet.
+            self.abort(ConnectionLostError(str(error), step="send", peer=self.peer))
 
     def abort(self, error: PeerError) -> None:
         """Abort the stream immediately with an error."""
--- a/test/test_finished_streams.py
+++ b/test/test_finished_streams.py
@@ -1,6 +1,8 @@
 """Streams of peers that are being finished at a planned stop of a node."""
 
 import asyncio
+import socket
+import struct
 
 import msgspec
 import pytest
@@ -19,6 +21,7 @@
 
 CHUNK = bytes(100_000)
 CHUNKS = 200
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 CONNECT_TIMEOUT_MS = 2_000.0
 
 _decoder = msgspec.msgpack.Decoder(NodeMessage)
@@ -59,6 +62,13 @@
     return await serve_peers(address, identity("n1"), gate, lambda: view, streams)
 
 
+def finish(streams, finished):
+    try:
+        finished.set_result(streams.finish())
+    except OSError as error:
+        finished.set_exception(error)
+
+
 @pytest.mark.parametrize(
     "message", [Probe(0), ViewRequest(0), make_call("r")], ids=["probe", "view", "call"]
 )
@@ -98,3 +108,25 @@
         server.close()
 
     asyncio.run(work())
+
+
+def test_peer_that_has_reset_its_stream_does_not_end_the_stop():
+    # The end of its stream failed, and the streams of others weren't ended.
+    async def work():
+        streams, peers = PeerStreams(), [SlowPeer(), SlowPeer()]
+        server = await serve(streams)
+        for peer in peers:
+            await peer.connect(server)
+        await until(lambda: len(streams.open) == len(peers))
+        for peer in peers:
+            transport = peer.stream._transport
+            end = transport.get_extra_info("socket")
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            transport.abort()
+        finished = asyncio.get_running_loop().create_future()
+        asyncio.get_running_loop().call_soon(finish, streams, finished)
+        await finished
+        await until(lambda: not streams.open)
+        server.close()
+
+    asyncio.run(work())
