A stop waits for callers whose request isn't read whole

Answers at the end of a planned stop could be lost on the way to callers that were still sending their requests.

Cause: such a call gets a 503 when the time of the stop is over; its connection then discards the rest of the body. The stop waited for bytes that aren't sent only, of which there are none, and ended at once. Bytes of the body that nobody reads then make the kernel reset the connection, and the caller may not have read its answer.

Excluded: stops that end in time; these wait until callers' connections have closed.

The reset itself was not played with a process.

--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -425,11 +425,14 @@
         await self.claims.wait_settled()
 
     async def _flush(self) -> None:
-        """Wait until callers and peers have the last bytes, for a limited time."""
+        """Wait until callers and peers have the last bytes, for a limited time.
+
+        A caller whose request isn't read whole has them once it closes its connection.
+        """
         self.peer_streams.finish()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FLUSH_TIMEOUT_MS / MS_PER_S):
-                while self.unsent_bytes() or self.peer_streams.open:
+                while self.entry.has_callers() or self.peer_streams.open:
                     await asyncio.sleep(FLUSH_POLL_MS / MS_PER_S)
 
     def unsent_bytes(self) -> int:
--- a/test/test_planned_stop.py
+++ b/test/test_planned_stop.py
@@ -4,7 +4,7 @@
 
 from site_in_loop import until
 
-from cicadawheel.node.daemon import LEAVE_NOTICE_MS
+from cicadawheel.node.daemon import FLUSH_TIMEOUT_MS, LEAVE_NOTICE_MS
 from cicadawheel.timer import MS_PER_S
 
 READ_TIMEOUT_S = 5.0
@@ -71,3 +71,24 @@
         assert node.unsent_bytes() == 0
 
     on_site(work)
+
+
+def test_stop_waits_until_a_caller_with_an_unread_body_has_its_answer(on_site):
+    # Bytes of the body that nobody read reset the connection when the process ended.
+    async def work(site):
+        reader, writer = await open_caller(site, "PUT /x")
+        writer.write(b"Content-Length: 10\r\n\r\nhalf")
+        node = site.nodes[NODE]
+        await until(lambda: node.entry.calls)
+        stopping = asyncio.ensure_future(stop_node(site))
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503 ")
+        loop = asyncio.get_running_loop()
+        closes_at_s = loop.time() + FLUSH_TIMEOUT_MS / MS_PER_S / 2
+        await until(lambda: stopping.done() or loop.time() > closes_at_s)
+        assert not stopping.done()
+        writer.close()
+        await stopping
+        assert not node.entry.has_callers()
+
+    on_site(work)
