Only orders that expect no revision wait for the end of their sender's connection

Cause: since orders look 100 ms later whether their sender has left, each of the product's own changes takes that long, though nearly all name the revision that they expect: a late copy conflicts with what came after it.

Change: only those that expect any revision wait.

--- a/cicadawheel/control/operators.py
+++ b/cicadawheel/control/operators.py
@@ -8,6 +8,7 @@
 
 from cicadawheel.configuration import DataCentreState
 from cicadawheel.control.command import (
+    ANY_REVISION,
     ApplyConfiguration,
     OperatorCommand,
     Outcome,
@@ -125,14 +126,11 @@
         body = prometheus_client.generate_latest(self.daemon.metrics.registry)
         return HttpAnswer(STATUS_DONE, body, prometheus_client.CONTENT_TYPE_LATEST)
 
-    async def _confirm_sender_waits(self, request: HttpRequest) -> None:
+    async def _change_replicas(self, request: HttpRequest) -> HttpAnswer:
+        change = msgspec.json.decode(request.body, type=ReplicaChange)
         await confirm_sender_waits(
             self.daemon.server.log, request.is_abandoned, ORDER_END_WAIT_MS
         )
-
-    async def _change_replicas(self, request: HttpRequest) -> HttpAnswer:
-        change = msgspec.json.decode(request.body, type=ReplicaChange)
-        await self._confirm_sender_waits(request)
         revision = self.daemon.state.configuration.revision
         outcome = await change_replicas(self.daemon.durable_log, change, revision)
         log_event(
@@ -180,7 +178,12 @@
         now_ms = self.daemon.server.clock.unix_ms()
         command = msgspec.structs.replace(command, now_ms=now_ms)
         try:
-            await self._confirm_sender_waits(request)
+            # A late copy that expects a revision conflicts with what came after it.
+            any_revision = command.expected_revision == ANY_REVISION
+            end_wait_ms = ORDER_END_WAIT_MS if any_revision else 0.0
+            await confirm_sender_waits(
+                self.daemon.server.log, request.is_abandoned, end_wait_ms
+            )
             outcome = await self._check_capacity(command)
             if outcome is None:
                 outcome = await self.daemon.server.log.propose(command)
