A replica without a leader logs its state once a second

The report of control without a leader at Cofio holds five lines of each replica, all of them failures of nodes' requests within 20 ms. What a replica without a leader does wrote nothing after its first pre-vote, so no hypothesis could be told from another.

replica_without_leader (WARNING) has the role, standing, term, last entry, the ages of messages from and to each voter, votes, refused votes by reason, the age of the current write, dropped and ignored messages, and the delay of the event loop. The same is in the metrics. Failures of nodes' requests are logged once, then as a count each second. A connection that times out says so: its reason was empty.

No change of logic.

--- a/bench/faultproxy.py
+++ b/bench/faultproxy.py
@@ -55,6 +55,7 @@
         self._direction = direction
         self._pieces: asyncio.Queue = asyncio.Queue(PIECES_IN_DELAY)
         self._flowed_bytes = 0
+        self._silencings = proxy.silencings
 
     async def run(self, reader, writer) -> None:
         """Forward bytes until the stream ends or is truncated."""
@@ -79,6 +80,8 @@
             due_s, data = await self._pieces.get()
             await asyncio.sleep(max(0.0, due_s - loop.time()))
             await self._proxy.wait_thawed(self._direction)
+            if self._silencings != self._proxy.silencings:
+                await asyncio.Event().wait()
             if not data:
                 writer.write_eof()
                 return
@@ -105,6 +108,7 @@
         self.target = target
         self.faults = Faults()
         self.accepted = 0
+        self.silencings = 0
         self._rng = random.Random(seed)
         self._server: asyncio.Server | None = None
         self._changed = asyncio.Event()
@@ -129,6 +133,13 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def silence(self) -> None:
+        """Forward nothing on the open connections any more, not even their end.
+
+        New connections work.
+        """
+        self.silencings += 1
+
     def cut(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
--- a/cicadawheel/control/metrics.py
+++ b/cicadawheel/control/metrics.py
@@ -10,6 +10,7 @@
 GAUGES = {
     "cicadawheel_revision": "Revision of the newest configuration.",
     "cicadawheel_control_has_leader": "1 while the replica hears from a leader.",
+    "cicadawheel_control_leaderless_seconds": "Time without a leader, 0 if it has one.",
     "cicadawheel_control_leads": "1 while the replica leads.",
     "cicadawheel_control_whole": "1 while all replicas vote and hold every entry.",
     "cicadawheel_control_term": "Term of the log.",
@@ -17,6 +18,10 @@
     "cicadawheel_control_applied_index": "Last entry that was applied.",
     "cicadawheel_control_apply_lag_seconds": "Age of the oldest unapplied entry.",
     "cicadawheel_control_snapshot_index": "Last entry that the snapshot covers.",
+    "cicadawheel_control_voters": "Replicas that vote.",
+    "cicadawheel_control_write_seconds": "Duration of the current write, or 0.",
+    "cicadawheel_control_dropped_messages": "Messages to replicas that were dropped.",
+    "cicadawheel_control_ignored_messages": "Messages of replicas that were ignored.",
     "cicadawheel_control_nodes": "Nodes that are connected to the replica.",
     "cicadawheel_control_members": "Upstreams that are registered.",
     "cicadawheel_control_missing": "Nodes without the newest revision.",
@@ -82,6 +87,11 @@
         self._set("commit_index", own_status.commit_index)
         self._set("applied_index", own_status.applied_index)
         self._set("snapshot_index", own_status.snapshot_index)
+        self._set("voters", len(own_status.voters))
+        self._set("leaderless_seconds", own_status.leaderless_ms / MS_PER_S)
+        self._set("write_seconds", own_status.write_ms / MS_PER_S)
+        self._set("dropped_messages", own_status.dropped_messages)
+        self._set("ignored_messages", own_status.ignored_messages)
 
     def _set(self, name: str, value: float) -> None:
         self.gauges[f"cicadawheel_control_{name}"].set(value)
--- a/cicadawheel/control/raft/core.py
+++ b/cicadawheel/control/raft/core.py
@@ -7,11 +7,12 @@
 """
 
 import random
+from collections import Counter
 
 from cicadawheel.control.raft.apply_lag import ApplyLag
 from cicadawheel.control.raft.apply_queue import ApplyQueue
 from cicadawheel.control.raft.durability import Durability, Outbound
-from cicadawheel.control.raft.election import Election
+from cicadawheel.control.raft.election import Election, VoteRefusal
 from cicadawheel.control.raft.entry import (
     NO_VOTE,
     CommandData,
@@ -77,6 +78,8 @@
         self.leader: ReplicaId | None = None
         self.leadership: Leadership | None = None
         self.role_changes: list[RoleChange] = []
+        self.vote_refusals: Counter[VoteRefusal] = Counter()
+        """The votes and pre-votes that this replica has refused."""
         self._apply_queue = ApplyQueue(self.log)
         self._apply_lag = ApplyLag(now_ms)
         self._durability = Durability(saved)
@@ -114,6 +117,15 @@
         """Return how long a committed entry has waited to be applied, 0 if none."""
         return self._apply_lag.value_ms(self.applied_index, now_ms)
 
+    def votes(self) -> set[ReplicaId]:
+        """Return the voters that granted this replica's election or pre-vote."""
+        is_candidate = self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE)
+        return self._election.votes() if is_candidate else set()
+
+    def write_age_ms(self, now_ms: float) -> float:
+        """Return how long the current write has taken, 0 if there is none."""
+        return self._durability.write_age_ms(now_ms)
+
     def tick(self, now_ms: float) -> None:
         """Check the election timeout, the leader's quorum and a stalled disk."""
         self._apply_lag.observe(self.announced_index, self.applied_index, now_ms)
@@ -341,20 +353,32 @@
         self, peer: ReplicaId, request: VoteRequest, now_ms: float
     ) -> None:
         if request.pre:
-            busy = self.leadership is not None or self._is_vote_write_pending()
-            granted = not busy and self._election.grants_pre_vote(
-                request, self.term, now_ms
-            )
-            term = request.term if granted else self.term
-            self._durability.send(peer, VoteReply(term, granted, True))
+            refusal = self._check_pre_vote(request, now_ms)
+            self._count_refusal(refusal)
+            term = request.term if refusal is None else self.term
+            self._durability.send(peer, VoteReply(term, refusal is None, True))
             return
-        granted = self._election.grants_vote(peer, request, self.hard_state)
-        if granted:
+        refusal = self._election.check_vote(peer, request, self.hard_state)
+        self._count_refusal(refusal)
+        if refusal is None:
             self.hard_state = HardState(self.term, peer)
             self._become_follower(self.term, None, "voted", now_ms)
-        reply = VoteReply(self.term, granted, False)
+        reply = VoteReply(self.term, refusal is None, False)
         self._durability.send_after_write(peer, reply)
 
+    def _check_pre_vote(
+        self, request: VoteRequest, now_ms: float
+    ) -> VoteRefusal | None:
+        if self.leadership is not None:
+            return VoteRefusal.LEADS
+        if self._is_vote_write_pending():
+            return VoteRefusal.WRITE_PENDING
+        return self._election.check_pre_vote(request, self.term, now_ms)
+
+    def _count_refusal(self, refusal: VoteRefusal | None) -> None:
+        if refusal is not None:
+            self.vote_refusals[refusal] += 1
+
     def _receive_vote_reply(
         self, peer: ReplicaId, reply: VoteReply, now_ms: float
     ) -> None:
--- a/cicadawheel/control/raft/durability.py
+++ b/cicadawheel/control/raft/durability.py
@@ -61,8 +61,12 @@
 
     def is_stalled(self, now_ms: float, limit_ms: float) -> bool:
         """Return whether the current write has taken longer than a limit."""
+        return self.write_age_ms(now_ms) > limit_ms
+
+    def write_age_ms(self, now_ms: float) -> float:
+        """Return how long the current write has taken, 0 if there is none."""
         since_ms = self._writing_since_ms
-        return since_ms is not None and now_ms - since_ms > limit_ms
+        return 0.0 if since_ms is None else now_ms - since_ms
 
     def begin_write(
         self, hard_state: HardState, log: RaftLog, now_ms: float
--- a/cicadawheel/control/raft/election.py
+++ b/cicadawheel/control/raft/election.py
@@ -1,6 +1,7 @@
 """Election timeouts, vote counting, and the rules for granting votes."""
 
 import random
+from enum import Enum
 
 from cicadawheel.control.raft.entry import NO_VOTE, HardState
 from cicadawheel.control.raft.log import RaftLog
@@ -15,6 +16,17 @@
 SPREAD_ELECTIONS_LIMIT = 3
 
 
+class VoteRefusal(Enum):
+    """Why a vote or pre-vote was refused."""
+
+    LEADS = "leads itself"
+    WRITE_PENDING = "own vote not durable"
+    OLD_TERM = "old term"
+    LEADER_HEARD = "leader heard"
+    VOTED = "voted"
+    LOG_BEHIND = "candidate's log is behind"
+
+
 class Election:
     """The election timeout of a replica, and the votes that it has received.
 
@@ -98,6 +110,10 @@
         self._consecutive_elections += 1
         self.restart_timeout(now_ms)
 
+    def votes(self) -> set[ReplicaId]:
+        """Return the voters that granted the current election or pre-vote."""
+        return set(self._votes)
+
     def add_vote(self, voter: ReplicaId) -> bool:
         """Record a vote and return whether this replica has a majority."""
         self._votes.add(voter)
@@ -107,23 +123,27 @@
         """Return a vote request for a term."""
         return VoteRequest(term, self.log.last_index, self.log.last_term, pre)
 
-    def grants_pre_vote(self, request: VoteRequest, term: Term, now_ms: float) -> bool:
-        """Return whether to grant a pre-vote."""
-        if request.term <= term or self.has_recent_leader(now_ms):
-            return False
+    def check_pre_vote(
+        self, request: VoteRequest, term: Term, now_ms: float
+    ) -> VoteRefusal | None:
+        """Return why to refuse a pre-vote, or None to grant it."""
+        if request.term <= term:
+            return VoteRefusal.OLD_TERM
+        if self.has_recent_leader(now_ms):
+            return VoteRefusal.LEADER_HEARD
         if now_ms - self._voted_ms < self.timeout_ms:
-            return False
-        return self._is_up_to_date(request)
+            return VoteRefusal.VOTED
+        return None if self._is_up_to_date(request) else VoteRefusal.LOG_BEHIND
 
-    def grants_vote(
+    def check_vote(
         self, candidate: ReplicaId, request: VoteRequest, hard_state: HardState
-    ) -> bool:
-        """Return whether to grant a vote."""
+    ) -> VoteRefusal | None:
+        """Return why to refuse a vote, or None to grant it."""
         if request.term != hard_state.term:
-            return False
+            return VoteRefusal.OLD_TERM
         if hard_state.vote not in (NO_VOTE, candidate):
-            return False
-        return self._is_up_to_date(request)
+            return VoteRefusal.VOTED
+        return None if self._is_up_to_date(request) else VoteRefusal.LOG_BEHIND
 
     def _is_up_to_date(self, request: VoteRequest) -> bool:
         ours = (self.log.last_term, self.log.last_index)
--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -28,6 +28,19 @@
 _decoder = msgspec.msgpack.Decoder(ReplicaMessage)
 
 
+class Connectivity(msgspec.Struct, frozen=True):
+    """What is known of the connection to another replica.
+
+    ``heard_ms`` is the age of its last message, and ``unanswered_ms`` the age of the
+    first message that was sent to it since; each is None if there is no such message.
+    """
+
+    open: bool
+    folder: FolderId | None
+    heard_ms: float | None
+    unanswered_ms: float | None
+
+
 class NetworkOwner(Protocol):
     """Receives the messages of the other replicas."""
 
@@ -75,6 +88,8 @@
         self._outgoing: dict[ReplicaId, Stream] = {}
         self._incoming: dict[ReplicaId, Stream] = {}
         self._unanswered_ms: dict[ReplicaId, float] = {}
+        self._heard_ms: dict[ReplicaId, float] = {}
+        self.dropped_messages = 0
         self._introductions: dict[Stream, Introduction] = {}
         self._streams: set[Stream] = set()
         self._closed: dict[Stream, asyncio.Event] = {}
@@ -136,12 +151,26 @@
         """Return whether a replica has answered on an outgoing stream."""
         return replica in self._outgoing and replica in self.folders
 
+    def describe_connection(self, replica: ReplicaId) -> Connectivity:
+        """Return what is known of the connection to another replica."""
+        now_ms = self.clock.now_ms()
+        heard_ms = self._heard_ms.get(replica)
+        unanswered_ms = self._unanswered_ms.get(replica)
+        return Connectivity(
+            self._stream_to(replica) is not None,
+            self.folders.get(replica),
+            None if heard_ms is None else now_ms - heard_ms,
+            None if unanswered_ms is None else now_ms - unanswered_ms,
+        )
+
     def send(self, replica: ReplicaId, message: Message) -> bool:
         """Send a message and return True, or drop it and return False."""
         stream = self._stream_to(replica)
         if stream is None or stream.unsent_bytes() > UNSENT_LIMIT_BYTES:
+            self.dropped_messages += 1
             return False
         if self._is_silent(replica):
+            self.dropped_messages += 1
             self._abort_streams(replica)
             return False
         stream.send(message)
@@ -156,6 +185,7 @@
         """Process a message; the first one on a stream must be the introduction."""
         peer = ReplicaId(stream.peer)
         self._unanswered_ms.pop(peer, None)
+        self._heard_ms[peer] = self.clock.now_ms()
         if isinstance(message, Introduction):
             self._introductions[stream] = message
             self.folders[peer] = message.folder
--- a/cicadawheel/control/replica/runner.py
+++ b/cicadawheel/control/replica/runner.py
@@ -98,13 +98,15 @@
         self.bootstrap: Bootstrap | None = None
         self.engine: Engine | None = None
         self.group: asyncio.TaskGroup | None = None
+        self.ignored_messages = 0
+        """Raft messages of replicas whose folder isn't the expected one."""
         boot = secrets.token_hex(RANDOM_ID_BYTES)
         identity = StreamIdentity(self.replica, boot, settings.process.key.encode())
         self.network = Network(
             self.control.replica_address, identity, self, timers.clock
         )
         self._initial_state = machine.begin_snapshot().data()
-        self._failure: StorageError | None = None
+        self.failure: StorageError | None = None
         self._leader: ReplicaId | None = None
         self._targets_membership: Membership | None = None
         self._is_removed = False
@@ -120,12 +122,12 @@
         ConnectionLostError
             The replica's address can't be listened on.
         """
-        if self._failure is not None:
-            raise self._failure
+        if self.failure is not None:
+            raise self.failure
         try:
             await self._run_storage()
         except StorageError as error:
-            self._failure = error
+            self.failure = error
             log_event(log, "replica_failed", reason=str(error))
             raise
 
@@ -156,7 +158,9 @@
         """Process a message from another replica."""
         if not isinstance(message, RaftMessage):
             self.owner.message_received(peer, message)
-        elif self.engine is not None and self._has_expected_folder(peer):
+        elif self.engine is None or not self._has_expected_folder(peer):
+            self.ignored_messages += 1
+        else:
             self.engine.receive(peer, message)
 
     def send(self, replica: ReplicaId, message: Message) -> bool:
--- a/cicadawheel/control/replica/status.py
+++ b/cicadawheel/control/replica/status.py
@@ -55,6 +55,10 @@
     removed: tuple[ReplicaId, ...] = ()
     peers: tuple[PeerStatus, ...] = ()
     repair: RepairState = RepairState.UNKNOWN
+    leaderless_ms: float = 0.0
+    write_ms: float = 0.0
+    dropped_messages: int = 0
+    ignored_messages: int = 0
 
 
 def describe_replica(
--- a/cicadawheel/control/replication.py
+++ b/cicadawheel/control/replication.py
@@ -12,6 +12,7 @@
 from cicadawheel.control.raft.entry import CommandData
 from cicadawheel.control.replica.bootstrap import BootstrapState
 from cicadawheel.control.replica.leader_requests import LeaderRequests
+from cicadawheel.control.replica.leaderless import LeaderWatch
 from cicadawheel.control.replica.message import (
     AddReplica,
     Answer,
@@ -87,6 +88,7 @@
         self._voter_target = settings.control.voter_target
         election_ms = settings.control.election_timeout_ms
         self._requests = LeaderRequests(self._runner, timers, election_ms)
+        self._watch = LeaderWatch(self, self._runner, timers)
         self._election_timeout_ms = election_ms
         self.commit_timeout_ms = COMMIT_TIMEOUT_ELECTIONS * election_ms
 
@@ -246,10 +248,20 @@
         if bootstrap is None:
             return ReplicaStatus(self.replica, BootstrapState.WAITING)
         engine = self._runner.engine
-        if engine is None:
-            return ReplicaStatus(self.replica, bootstrap.state, bootstrap.reason)
         now_ms = self._clock.now_ms()
-        return describe_replica(engine.raft, bootstrap.state, bootstrap.reason, now_ms)
+        if engine is None:
+            status = ReplicaStatus(self.replica, bootstrap.state, bootstrap.reason)
+        else:
+            status = describe_replica(
+                engine.raft, bootstrap.state, bootstrap.reason, now_ms
+            )
+        return msgspec.structs.replace(
+            status,
+            leaderless_ms=self._watch.leaderless_ms(now_ms),
+            write_ms=0.0 if engine is None else engine.raft.write_age_ms(now_ms),
+            dropped_messages=self._runner.network.dropped_messages,
+            ignored_messages=self._runner.ignored_messages,
+        )
 
     def message_received(self, peer: ReplicaId, message: Message) -> None:
         """Handle a request, an answer or a report from another replica."""
--- a/cicadawheel/control/server.py
+++ b/cicadawheel/control/server.py
@@ -11,6 +11,7 @@
 from cicadawheel.control.lease import make_lease_table
 from cicadawheel.control.log import CommandLog
 from cicadawheel.control.messages import EvidenceReport, LeaseReport, ReplicaReport
+from cicadawheel.control.request_failures import RequestFailures
 from cicadawheel.control.session import NodeSession
 from cicadawheel.control.state import ControlState
 from cicadawheel.errors import CicadawheelError, NotLeaderError
@@ -75,6 +76,7 @@
         self.sessions: set[NodeSession] = set()
         self.leases = make_lease_table(settings.lease_ms)
         self.releases = ReleaseLeader(state, command_log, timers)
+        self.request_failures = RequestFailures(timers)
         self._cached_delta_revisions = (Revision(0), Revision(0))
         self._cached_delta: ConfigurationDelta | None = None
         self._leads = False
--- a/cicadawheel/control/session.py
+++ b/cicadawheel/control/session.py
@@ -302,7 +302,7 @@
         try:
             await coroutine
         except CicadawheelError as error:
-            log_event(log, "node_request_failed", reason=error)
+            self.server.request_failures.record(error)
 
 
 def make_claim_command(
--- a/cicadawheel/logs.py
+++ b/cicadawheel/logs.py
@@ -175,9 +175,14 @@
 
 
 def log_event(
-    log: logging.Logger, event: str, *, traceback: bool = False, **fields: Any
+    log: logging.Logger,
+    event: str,
+    *,
+    traceback: bool = False,
+    warning: bool = False,
+    **fields: Any,
 ) -> None:
-    """Log an event at level INFO, or ERROR with a traceback.
+    """Log an event at level INFO, WARNING, or ERROR with a traceback.
 
     Parameters
     ----------
@@ -187,8 +192,11 @@
         The event's name from the catalogue in docs/operators/events.md.
     traceback : bool
         Whether the traceback of the error being handled follows.
+    warning : bool
+        Whether the level is WARNING.
     **fields : object
         The event's fields, each with its unit as a suffix.
     """
-    level = logging.ERROR if traceback else logging.INFO
+    level = logging.WARNING if warning else logging.INFO
+    level = logging.ERROR if traceback else level
     log.log(level, event, extra={"event": event, **fields}, exc_info=traceback)
--- a/cicadawheel/wire/stream.py
+++ b/cicadawheel/wire/stream.py
@@ -342,7 +342,7 @@
             return await stream.opened
     except (OSError, TimeoutError) as error:
         lost = ConnectionLostError(
-            f"connection failed: {error or 'timeout'}", step="connect", peer=peer
+            f"connection failed: {str(error) or 'timeout'}", step="connect", peer=peer
         )
         if stream is not None:
             stream.abort(lost)
