Judge each connection between replicas by what it brings

Callers saw: configuration calls and nodes' requests fail with 'no leader found in time', with all five replicas up and a majority calm, for good.

Cause: a replica sends on the connection that it opened, but judged the other replica by messages on any connection. If its own went silent and the other's worked, it never gave its own up. The other end gives up, but its reset is lost on a silent connection.

Excluded by runs: that the peer's giving up heals it (the silent end sees neither bytes nor the end of the stream; none in 40 s), and that all connections must be silent (then both ends give up after 2 s).

Change: each end repeats its introduction on each connection every 400 ms, and closes one that has brought nothing for 1.5 s since the first message that was sent on it. No new message, so that replicas of two versions understand each other.

In test_leaderless.py the one-way case reads the line of the replica whose own connection is silent, as the ages are now those of that connection; the other case waits for the role too, as the first line may come before the role's change.

--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -22,7 +22,8 @@
 
 CONNECT_TIMEOUT_MS = 1_000.0
 RECONNECT_INTERVAL_MS = 100.0
-SILENCE_LIMIT_MS = 2_000.0
+KEEP_ALIVE_INTERVAL_MS = 400.0
+SILENCE_LIMIT_MS = 1_500.0
 UNSENT_LIMIT_BYTES = 8 * 1024 * 1024
 
 _decoder = msgspec.msgpack.Decoder(ReplicaMessage)
@@ -54,13 +55,35 @@
         """Process a message that follows the introduction of a replica."""
 
 
+class _Liveness:
+    """When a stream last brought a message, and what was sent on it since."""
+
+    def __init__(self):
+        self.heard_ms: float | None = None
+        self.unanswered_ms: float | None = None
+
+    def sent(self, now_ms: float) -> None:
+        if self.unanswered_ms is None:
+            self.unanswered_ms = now_ms
+
+    def heard(self, now_ms: float) -> None:
+        self.heard_ms = now_ms
+        self.unanswered_ms = None
+
+    def is_silent(self, now_ms: float) -> bool:
+        unanswered_ms = self.unanswered_ms
+        return unanswered_ms is not None and now_ms - unanswered_ms > SILENCE_LIMIT_MS
+
+
 class Network:
     """Connects to the other replicas, and accepts their connections.
 
     A message is sent on the outgoing stream to a replica if that is open, else on an
-    incoming one. Messages that can't be sent are dropped. Streams to a replica that
-    sends nothing are replaced, because TCP may take minutes to retransmit after a long
-    partition.
+    incoming one. Messages that can't be sent are dropped.
+
+    Both ends of a stream repeat their introduction on it, and each closes a stream that
+    brings nothing. Every stream is judged by itself: messages that arrive on another
+    one don't show that this one carries any, and the other end's reset may be lost.
 
     Parameters
     ----------
@@ -87,11 +110,9 @@
         self._dials: dict[tuple[ReplicaId, Address], asyncio.Task[None]] = {}
         self._outgoing: dict[ReplicaId, Stream] = {}
         self._incoming: dict[ReplicaId, Stream] = {}
-        self._unanswered_ms: dict[ReplicaId, float] = {}
-        self._heard_ms: dict[ReplicaId, float] = {}
         self.dropped_messages = 0
         self._introductions: dict[Stream, Introduction] = {}
-        self._streams: set[Stream] = set()
+        self._streams: dict[Stream, _Liveness] = {}
         self._closed: dict[Stream, asyncio.Event] = {}
         self._group: asyncio.TaskGroup | None = None
 
@@ -109,7 +130,7 @@
                 self._group = group
                 ready()
                 self._update_dials()
-                await asyncio.Event().wait()
+                await self._keep_alive()
         finally:
             self._group = None
             self._dials.clear()
@@ -153,39 +174,40 @@
 
     def describe_connection(self, replica: ReplicaId) -> Connectivity:
         """Return what is known of the connection to another replica."""
+        stream = self._stream_to(replica)
+        folder = self.folders.get(replica)
+        if stream is None:
+            return Connectivity(False, folder, None, None)
         now_ms = self.clock.now_ms()
-        heard_ms = self._heard_ms.get(replica)
-        unanswered_ms = self._unanswered_ms.get(replica)
+        liveness = self._streams[stream]
+        heard_ms, unanswered_ms = liveness.heard_ms, liveness.unanswered_ms
         return Connectivity(
-            self._stream_to(replica) is not None,
-            self.folders.get(replica),
+            True,
+            folder,
             None if heard_ms is None else now_ms - heard_ms,
             None if unanswered_ms is None else now_ms - unanswered_ms,
         )
 
     def send(self, replica: ReplicaId, message: Message) -> bool:
         """Send a message and return True, or drop it and return False."""
-        stream = self._stream_to(replica)
+        while (stream := self._stream_to(replica)) is not None:
+            if not self._abort_if_silent(stream):
+                break
         if stream is None or stream.unsent_bytes() > UNSENT_LIMIT_BYTES:
             self.dropped_messages += 1
             return False
-        if self._is_silent(replica):
-            self.dropped_messages += 1
-            self._abort_streams(replica)
-            return False
-        stream.send(message)
+        self._send_on(stream, message)
         return True
 
     def stream_opened(self, stream: Stream) -> None:
         """Send the introduction of this replica."""
-        self._streams.add(stream)
-        stream.send(self.owner.introduce())
+        self._streams[stream] = _Liveness()
+        self._send_on(stream, self.owner.introduce())
 
     def message_received(self, stream: Stream, message: Message) -> None:
         """Process a message; the first one on a stream must be the introduction."""
         peer = ReplicaId(stream.peer)
-        self._unanswered_ms.pop(peer, None)
-        self._heard_ms[peer] = self.clock.now_ms()
+        self._streams[stream].heard(self.clock.now_ms())
         if isinstance(message, Introduction):
             self._introductions[stream] = message
             self.folders[peer] = message.folder
@@ -206,13 +228,10 @@
     def stream_closed(self, stream: Stream, error: PeerError | None) -> None:
         """Remove a closed stream, and use another open one in its place."""
         peer = ReplicaId(stream.peer)
-        self._streams.discard(stream)
+        self._streams.pop(stream, None)
         self._introductions.pop(stream, None)
         self._update_folder(peer)
-        for streams in (self._incoming, self._outgoing):
-            if streams.get(peer) is stream:
-                del streams[peer]
-                self._replace_stream(streams, stream)
+        self._unregister(stream)
         if stream in self._closed:
             self._closed[stream].set()
         log_event(log, "replica_stream_closed", peer=peer, reason=str(error or ""))
@@ -221,7 +240,8 @@
         """Replace a closed stream by another open one in the same direction."""
         for stream in self._introductions:
             same_direction = stream.handshake.role is ended.handshake.role
-            if stream.peer == ended.peer and same_direction and stream.is_open():
+            other = stream is not ended and stream.peer == ended.peer
+            if other and same_direction and stream.is_open():
                 streams[ReplicaId(ended.peer)] = stream
 
     def _stream_to(self, replica: ReplicaId) -> Stream | None:
@@ -237,20 +257,38 @@
             if stream.peer == peer:
                 self.folders[peer] = introduction.folder
 
-    def _is_silent(self, replica: ReplicaId) -> bool:
-        now_ms = self.clock.now_ms()
-        unanswered_ms = self._unanswered_ms.setdefault(replica, now_ms)
-        return now_ms - unanswered_ms > SILENCE_LIMIT_MS
+    async def _keep_alive(self) -> None:
+        """Repeat the introduction on each stream, and close the silent ones."""
+        while True:
+            await asyncio.sleep(KEEP_ALIVE_INTERVAL_MS / MS_PER_S)
+            introduction = self.owner.introduce()
+            for stream in list(self._streams):
+                if not self._abort_if_silent(stream) and stream.is_open():
+                    self._send_on(stream, introduction)
+
+    def _send_on(self, stream: Stream, message: Message) -> None:
+        stream.send(message)
+        self._streams[stream].sent(self.clock.now_ms())
 
-    def _abort_streams(self, replica: ReplicaId) -> None:
-        del self._unanswered_ms[replica]
-        error = ConnectionLostError(
-            "no message received from the replica", step="send", peer=replica
+    def _abort_if_silent(self, stream: Stream) -> bool:
+        """Abort a stream that brings nothing, and return whether it was silent."""
+        if not self._streams[stream].is_silent(self.clock.now_ms()):
+            return False
+        self._unregister(stream)
+        stream.abort(
+            ConnectionLostError(
+                "no message received on the stream", step="receive", peer=stream.peer
+            )
         )
-        for streams in (self._outgoing, self._incoming):
-            stream = streams.pop(replica, None)
-            if stream is not None:
-                stream.abort(error)
+        return True
+
+    def _unregister(self, stream: Stream) -> None:
+        """Use another open stream in place of one that has ended."""
+        peer = ReplicaId(stream.peer)
+        for streams in (self._incoming, self._outgoing):
+            if streams.get(peer) is stream:
+                del streams[peer]
+                self._replace_stream(streams, stream)
 
     async def _serve(self) -> asyncio.Server:
         host, port = self.listen.host, self.listen.port
--- a/test/test_leaderless.py
+++ b/test/test_leaderless.py
@@ -89,8 +89,12 @@
         trio.start("a", "b", "c")
         await trio.elect()
         await trio.stop("b", "c")
-        line = await lines.state_with(lambda line: line.role == "pre-candidate")
-        assert line.voters == "a:self,b:closed,c:closed"
+        line = await lines.state_with(
+            lambda line: (
+                (line.role, line.voters)
+                == ("pre-candidate", "a:self,b:closed,c:closed")
+            )
+        )
         assert line.votes == "1/2"
         assert line.levelno == logging.WARNING
 
@@ -104,9 +108,9 @@
         await trio.stop("c")
         trio.proxies["a", "b"].silence()
         line = await lines.state_with(
-            lambda line: "a:" in line.voters and _ages(line, "a")[1] > 1_000
+            lambda line: "a:self" in line.voters and _ages(line, "b")[1] > 1_000
         )
-        assert _ages(line, "a")[0] >= _ages(line, "a")[1]
+        assert _ages(line, "b")[0] >= _ages(line, "b")[1]
 
     run_trio(body)
 
