A silent connection between replicas is given up once, and not for a long message

Connections that are given up are dropped from the tables at once. Only the periodic check gives up, after what has arrived was read; a send drops its message. Any received byte counts. Two tests that failed before, in test_replication_network.py.

--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -56,21 +56,27 @@
 
 
 class _Liveness:
-    """When a stream last brought a message, and what was sent on it since."""
+    """When a stream last brought bytes, and since when messages on it wait for some."""
 
-    def __init__(self):
+    def __init__(self, stream: Stream):
         self.heard_ms: float | None = None
         self.unanswered_ms: float | None = None
+        self._stream = stream
+        self._received_bytes = 0
 
     def sent(self, now_ms: float) -> None:
         if self.unanswered_ms is None:
             self.unanswered_ms = now_ms
 
-    def heard(self, now_ms: float) -> None:
-        self.heard_ms = now_ms
-        self.unanswered_ms = None
+    def update(self, now_ms: float) -> None:
+        """Take account of the bytes received, which may be a part of a message."""
+        if self._stream.received_bytes != self._received_bytes:
+            self._received_bytes = self._stream.received_bytes
+            self.heard_ms = now_ms
+            self.unanswered_ms = None
 
     def is_silent(self, now_ms: float) -> bool:
+        self.update(now_ms)
         unanswered_ms = self.unanswered_ms
         return unanswered_ms is not None and now_ms - unanswered_ms > SILENCE_LIMIT_MS
 
@@ -190,10 +196,12 @@
 
     def send(self, replica: ReplicaId, message: Message) -> bool:
         """Send a message and return True, or drop it and return False."""
-        while (stream := self._stream_to(replica)) is not None:
-            if not self._abort_if_silent(stream):
-                break
-        if stream is None or stream.unsent_bytes() > UNSENT_LIMIT_BYTES:
+        stream = self._stream_to(replica)
+        if (
+            stream is None
+            or stream.unsent_bytes() > UNSENT_LIMIT_BYTES
+            or self._streams[stream].is_silent(self.clock.now_ms())
+        ):
             self.dropped_messages += 1
             return False
         self._send_on(stream, message)
@@ -201,13 +209,13 @@
 
     def stream_opened(self, stream: Stream) -> None:
         """Send the introduction of this replica."""
-        self._streams[stream] = _Liveness()
+        self._streams[stream] = _Liveness(stream)
         self._send_on(stream, self.owner.introduce())
 
     def message_received(self, stream: Stream, message: Message) -> None:
         """Process a message; the first one on a stream must be the introduction."""
         peer = ReplicaId(stream.peer)
-        self._streams[stream].heard(self.clock.now_ms())
+        self._streams[stream].update(self.clock.now_ms())
         if isinstance(message, Introduction):
             self._introductions[stream] = message
             self.folders[peer] = message.folder
@@ -227,21 +235,17 @@
 
     def stream_closed(self, stream: Stream, error: PeerError | None) -> None:
         """Remove a closed stream, and use another open one in its place."""
-        peer = ReplicaId(stream.peer)
-        self._streams.pop(stream, None)
-        self._introductions.pop(stream, None)
-        self._update_folder(peer)
-        self._unregister(stream)
+        self._discard(stream)
         if stream in self._closed:
             self._closed[stream].set()
-        log_event(log, "replica_stream_closed", peer=peer, reason=str(error or ""))
+        reason = str(error or "")
+        log_event(log, "replica_stream_closed", peer=stream.peer, reason=reason)
 
     def _replace_stream(self, streams: dict[ReplicaId, Stream], ended: Stream) -> None:
         """Replace a closed stream by another open one in the same direction."""
         for stream in self._introductions:
             same_direction = stream.handshake.role is ended.handshake.role
-            other = stream is not ended and stream.peer == ended.peer
-            if other and same_direction and stream.is_open():
+            if stream.peer == ended.peer and same_direction and stream.is_open():
                 streams[ReplicaId(ended.peer)] = stream
 
     def _stream_to(self, replica: ReplicaId) -> Stream | None:
@@ -262,29 +266,30 @@
         while True:
             await asyncio.sleep(KEEP_ALIVE_INTERVAL_MS / MS_PER_S)
             introduction = self.owner.introduce()
-            for stream in list(self._streams):
-                if not self._abort_if_silent(stream) and stream.is_open():
+            for stream, liveness in list(self._streams.items()):
+                if liveness.is_silent(self.clock.now_ms()):
+                    self._abort(stream)
+                elif stream.is_open():
                     self._send_on(stream, introduction)
 
     def _send_on(self, stream: Stream, message: Message) -> None:
         stream.send(message)
         self._streams[stream].sent(self.clock.now_ms())
 
-    def _abort_if_silent(self, stream: Stream) -> bool:
-        """Abort a stream that brings nothing, and return whether it was silent."""
-        if not self._streams[stream].is_silent(self.clock.now_ms()):
-            return False
-        self._unregister(stream)
+    def _abort(self, stream: Stream) -> None:
+        self._discard(stream)
         stream.abort(
             ConnectionLostError(
                 "no message received on the stream", step="receive", peer=stream.peer
             )
         )
-        return True
 
-    def _unregister(self, stream: Stream) -> None:
-        """Use another open stream in place of one that has ended."""
+    def _discard(self, stream: Stream) -> None:
+        """Stop using a stream, and use another open one in its place."""
         peer = ReplicaId(stream.peer)
+        self._streams.pop(stream, None)
+        self._introductions.pop(stream, None)
+        self._update_folder(peer)
         for streams in (self._incoming, self._outgoing):
             if streams.get(peer) is stream:
                 del streams[peer]
@@ -341,7 +346,7 @@
                     ProtocolError("address belongs to another replica", peer=replica)
                 )
                 log_event(log, "wrong_replica", peer=stream.peer, address=str(address))
-            elif stream.is_open():
+            elif stream in self._streams and stream.is_open():
                 self._outgoing[ReplicaId(stream.peer)] = stream
                 await closed.wait()
         finally:
--- a/test/test_replication_network.py
+++ b/test/test_replication_network.py
@@ -9,7 +9,7 @@
 from cicadawheel.control.replica.message import Introduction, Report
 from cicadawheel.control.replica.network import SILENCE_LIMIT_MS, Network
 from cicadawheel.settings import Address
-from cicadawheel.wire.stream import Identity
+from cicadawheel.wire.stream import FRAME_HEADER, Identity
 
 
 class Clock:
@@ -93,6 +93,32 @@
     run_pair(body)
 
 
+def test_send_ends_while_two_streams_to_a_replica_are_silent(run_pair):
+    async def body(a, b, clock):
+        a.set_seed_addresses({b.listen})
+        await a.owner.introductions.get()
+        assert a.send("b", Report(b"1"))
+        clock.at_ms += SILENCE_LIMIT_MS + 1
+        assert not a.send("b", Report(b"2"))
+
+    run_pair(body)
+
+
+def test_stream_that_brings_a_long_message_slowly_is_kept(run_pair):
+    async def body(a, b, clock):
+        assert a.send("b", Report(b"1"))
+        clock.at_ms += SILENCE_LIMIT_MS
+        received_bytes = a._outgoing["b"].received_bytes
+        b._incoming["a"]._transport.write(FRAME_HEADER.pack(1_000) + b"part")
+        async with asyncio.timeout(5.0):
+            while a._outgoing["b"].received_bytes == received_bytes:
+                await asyncio.sleep(0)
+        clock.at_ms += 1
+        assert a.send("b", Report(b"2"))
+
+    run_pair(body)
+
+
 def test_replica_is_dialled_at_its_new_address(run_pair):
     async def body(a, b, clock):
         moved = Address("127.0.0.1", free_port())
