The state of a replica is logged also while leaders come and go

Found by a review: with a leader known for 0.1 s of each second, no line was written in 60 s. The time without a leader counts from 0 again only once one is known for 3 s. The test failed before.

--- a/cicadawheel/control/replica/leaderless.py
+++ b/cicadawheel/control/replica/leaderless.py
@@ -21,6 +21,8 @@
 
 CHECK_INTERVAL_MS = 100.0
 LINE_INTERVAL_MS = 1_000.0
+SETTLED_MS = 3_000.0
+"""How long a leader must be known before the time without one counts from 0 again."""
 ROLE_WITHOUT_LOG = "none"
 
 
@@ -68,7 +70,9 @@
 
 
 class LeaderWatch:
-    """Logs the state of a replica once a second while it knows no leader.
+    """Logs the state of a replica for each second in which it knows no leader.
+
+    Leaders that are known for short times only don't end the count.
 
     Parameters
     ----------
@@ -86,8 +90,9 @@
         self._replica = replica
         self._runner = runner
         self._checked_at_ms = timers.clock.now_ms()
-        self._leaderless_since_ms = self._checked_at_ms
-        self._logged_at_ms = self._checked_at_ms
+        self._leaderless_ms = 0.0
+        self._unlogged_ms = 0.0
+        self._known_ms = 0.0
         self._late_ms = 0.0
         self._refused_before: dict = {}
         self._dropped_before = 0
@@ -98,20 +103,26 @@
         """Return how long no leader has been known, 0 if one is."""
         if self._replica.leader is not None:
             return 0.0
-        return now_ms - self._leaderless_since_ms
+        return self._leaderless_ms + now_ms - self._checked_at_ms
 
     def _check(self, now_ms: float) -> None:
-        late_ms = now_ms - self._checked_at_ms - CHECK_INTERVAL_MS
-        self._late_ms = max(self._late_ms, late_ms)
+        elapsed_ms = now_ms - self._checked_at_ms
         self._checked_at_ms = now_ms
+        self._late_ms = max(self._late_ms, elapsed_ms - CHECK_INTERVAL_MS)
         if self._replica.leader is not None:
-            self._restart(now_ms)
-        elif now_ms - self._logged_at_ms >= LINE_INTERVAL_MS:
+            self._known_ms += elapsed_ms
+            if self._known_ms >= SETTLED_MS:
+                self._restart()
+            return
+        self._known_ms = 0.0
+        self._leaderless_ms += elapsed_ms
+        self._unlogged_ms += elapsed_ms
+        if self._unlogged_ms >= LINE_INTERVAL_MS:
             self._log_state(now_ms)
 
-    def _restart(self, now_ms: float) -> None:
-        self._leaderless_since_ms = now_ms
-        self._logged_at_ms = now_ms
+    def _restart(self) -> None:
+        self._leaderless_ms = 0.0
+        self._unlogged_ms = 0.0
         self._late_ms = 0.0
         engine = self._runner.engine
         self._refused_before = {} if engine is None else dict(engine.raft.vote_refusals)
@@ -125,13 +136,13 @@
             log,
             "replica_without_leader",
             warning=True,
-            leaderless_ms=round(now_ms - self._leaderless_since_ms),
+            leaderless_ms=round(self._leaderless_ms),
             **msgspec.structs.asdict(state),
             dropped=network.dropped_messages - self._dropped_before,
             ignored=self._runner.ignored_messages - self._ignored_before,
             late_ms=round(self._late_ms),
         )
-        self._logged_at_ms = now_ms
+        self._unlogged_ms = 0.0
         self._late_ms = 0.0
 
 
--- a/test/test_leaderless.py
+++ b/test/test_leaderless.py
@@ -4,6 +4,7 @@
 import logging
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 from raft_shuttle import RaftCluster, others
@@ -13,6 +14,7 @@
 from cicadawheel.control.raft.election import VoteRefusal
 from cicadawheel.control.raft.message import VoteRequest
 from cicadawheel.control.replica import leaderless
+from cicadawheel.control.replica.leaderless import CHECK_INTERVAL_MS, LeaderWatch
 from cicadawheel.control.request_failures import RequestFailures
 from cicadawheel.control.storage import DiskFiles
 from cicadawheel.errors import NotLeaderError
@@ -168,6 +170,25 @@
     run_trio(body)
 
 
+def test_leaders_that_are_known_for_short_times_do_not_hide_the_state(lines):
+    checks = []
+    clock = SimpleNamespace(now_ms=lambda: 0.0)
+    timers = SimpleNamespace(clock=clock, every=lambda _, check: checks.append(check))
+    replica = SimpleNamespace(leader=None)
+    runner = SimpleNamespace(
+        engine=None,
+        failure=None,
+        bootstrap=None,
+        ignored_messages=0,
+        network=SimpleNamespace(dropped_messages=0),
+    )
+    LeaderWatch(replica, runner, timers)
+    for tick in range(1, 41):
+        replica.leader = "a" if tick % 10 == 0 else None
+        checks[0](tick * CHECK_INTERVAL_MS)
+    assert [record.leaderless_ms for record in lines.records] == [1000, 2000, 3000]
+
+
 def test_refused_votes_are_counted_by_reason():
     cluster = RaftCluster("a", "b", "c")
     leader = cluster.elect()
