Soak: connections go silent for good

Its proxies held bytes back and let them go, or reset connections; none went silent for good, so that neither end hears of it.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections.abc import Callable
 
 import msgspec
 
@@ -41,6 +42,8 @@
 )
 DISK_FAULTS = (MachineFaults(sync_delay_ms=200.0), MachineFaults(full=True))
 STALLED_DISK = MachineFaults(stalled=True)
+SILENT_SHARE = 0.5
+"""The share of silenced connections, both in a fault and among the faults drawn."""
 LONG_FAULT_S = 18.0
 """Added to the duration of stalled disks and evacuations, which then outlasts the bound
 that `bench.soak.promises` allows for evacuations beside disturbed replicas."""
@@ -55,6 +58,10 @@
 """Downtime of each process in a rolling restart, as under a supervisor."""
 
 
+DrawFault = Callable[[SoakSite, list[OutPeriod], random.Random], Disturbance]
+"""Returns a random fault."""
+
+
 class WaysFaulted(msgspec.Struct, frozen=True):
     """Delays, freezes in one or both directions, or refuses a process's connections.
 
@@ -76,6 +83,22 @@
             proxy.set_faults(NO_CONNECTION_FAULTS)
 
 
+class WaysSilenced(msgspec.Struct, frozen=True):
+    """Silences some of the open connections for good, without a reset."""
+
+    proxies: tuple[FaultProxy, ...]
+
+    @property
+    def place(self) -> str:
+        """The name of all replicas: machines everywhere may lose connections."""
+        return ALL_REPLICAS
+
+    async def run(self, lasts_s: float) -> None:
+        """Silence the connections; new ones work at once, ``lasts_s`` is unused."""
+        for proxy in self.proxies:
+            proxy.silence()
+
+
 class MachineFaulted(msgspec.Struct, frozen=True):
     """Makes a replica's disk slow or full, or steps its clock forth and back."""
 
@@ -228,6 +251,21 @@
     return DiskStalled(rng.choice(site.machines), STALLED_DISK)
 
 
+def draw_silent_fault(
+    site: SoakSite, periods: list[OutPeriod], rng: random.Random
+) -> Disturbance:
+    """Return a random fault, often one that silences connections between processes."""
+    if rng.random() >= SILENT_SHARE:
+        return draw_fault(site, periods, rng)
+    ways = site.ways
+    proxies = [*ways.replica_links.values(), *ways.peer_proxies.values()]
+    for links in ways.control_links.values():
+        proxies += links
+    return WaysSilenced(
+        tuple(proxy for proxy in proxies if rng.random() < SILENT_SHARE)
+    )
+
+
 def _draw_connection_fault(
     site: SoakSite, node: NodePlace, machine: ReplicaMachine, rng: random.Random
 ) -> WaysFaulted:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -17,7 +17,7 @@
 from bench.progress import report
 from bench.record import read_records
 from bench.scheduler import SchedulePlan, Scheduler
-from bench.soak.faults import draw_fault, draw_long_fault
+from bench.soak.faults import DrawFault, draw_fault, draw_long_fault, draw_silent_fault
 from bench.soak.operators import Operators
 from bench.soak.promises import InvariantChecker, Promises
 from bench.soak.site import SoakSite, soak_topology
@@ -40,13 +40,15 @@
     """The parameters of one soak.
 
     With ``long_faults`` set, some disks stall, and some data centres are out, for
-    longer than an evacuation may take to be in force beside disturbed replicas.
+    longer than an evacuation may take to be in force beside disturbed replicas. With
+    ``silent_faults`` set, half of the faults are connections that go silent for good.
     """
 
     seed: int
     nodes: int = 8
     duration_s: float = 20.0
     long_faults: bool = False
+    silent_faults: bool = False
 
 
 class SoakResult(msgspec.Struct, frozen=True):
@@ -113,7 +115,7 @@
 async def _disturb(site: SoakSite, plan: SoakPlan) -> SoakResult:
     rng = random.Random(plan.seed)
     periods: list[OutPeriod] = []
-    draw = draw_long_fault if plan.long_faults else draw_fault
+    draw = _choose_draw(plan)
     scheduler = Scheduler(SCHEDULE, partial(draw, site, periods, rng), rng)
     checker = InvariantChecker(
         site.deployment.nodes, scheduler.troubles, periods, len(site.machines)
@@ -160,6 +162,12 @@
     )
 
 
+def _choose_draw(plan: SoakPlan) -> DrawFault:
+    if plan.silent_faults:
+        return draw_silent_fault
+    return draw_long_fault if plan.long_faults else draw_fault
+
+
 def _plan_load(site: SoakSite, name: str, duration_ms: float, seed: int) -> LoadPlan:
     return LoadPlan(
         name=name,
--- a/bench/ui.py
+++ b/bench/ui.py
@@ -118,6 +118,7 @@
         option("seeds", None, "How many seeds.", flag=False, default="1"),
         option("nodes", None, "How many nodes.", flag=False, default="8"),
         option("seconds", None, "How long each.", flag=False, default="20"),
+        option("silent", None, "Connections go silent for good.", flag=True),
         option("keep", None, "Where logs of broken ones go.", flag=False, default=None),
     ]
 
@@ -131,6 +132,7 @@
                 int(self.option("nodes")),
                 float(self.option("seconds")),
                 long_faults=seed % 2 == 1,
+                silent_faults=self.option("silent"),
             )
             for seed in range(first, first + int(self.option("seeds")))
         ]
