--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -32,4 +32,8 @@
         SoakPlan(953, long_faults=True),
         "calls in an evacuated data centre: nodes stayed where a disk had stalled",
     ),
+    BrokenSeed(
+        SoakPlan(2001, silent_faults=True),
+        "no leader for good: replicas kept sending on connections that were silent",
+    ),
 )
