Connections to replicas of the version before are judged as before

Found by a review: replicas of the version before don't repeat their introductions, so that idle connections to them were closed every 2 s (64 closings in 12 s with two old ones of five). The introduction says now whether it is repeated; else a connection counts as silent only if no other one to that replica brings anything. A message that arrives just as its connection's task ended is dropped; it would have raised KeyError (not reproduced).

The test of an idle connection to an old replica failed before.

--- a/cicadawheel/control/replica/message.py
+++ b/cicadawheel/control/replica/message.py
@@ -13,11 +13,12 @@
 
 
 class Introduction(Message, tag="introduction"):
-    """First message of both sides of a stream: the sender's folder and memberships.
+    """The sender's folder and memberships; the first message of both sides of a stream.
 
     ``initial`` are the replicas in the sender's settings and ``bootstrap`` is the
     initial membership that was agreed on. ``membership`` is the latest one, which is
-    committed if ``settled`` is set.
+    committed if ``settled`` is set. A sender that sets ``repeats`` repeats it for as
+    long as the stream is open; older versions don't.
     """
 
     folder: FolderId
@@ -25,6 +26,7 @@
     bootstrap: Membership
     membership: Membership
     settled: bool = False
+    repeats: bool = False
 
 
 class ConfirmRead(msgspec.Struct, array_like=True, frozen=True, tag="read"):
--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -75,6 +75,11 @@
             self.heard_ms = now_ms
             self.unanswered_ms = None
 
+    def was_heard(self, now_ms: float) -> bool:
+        self.update(now_ms)
+        heard_ms = self.heard_ms
+        return heard_ms is not None and now_ms - heard_ms <= SILENCE_LIMIT_MS
+
     def is_silent(self, now_ms: float) -> bool:
         self.update(now_ms)
         unanswered_ms = self.unanswered_ms
@@ -90,6 +95,8 @@
     Both ends of a stream repeat their introduction on it, and each closes a stream that
     brings nothing. Every stream is judged by itself: messages that arrive on another
     one don't show that this one carries any, and the other end's reset may be lost.
+    Replicas of older versions don't repeat theirs; their streams are closed if none of
+    them brings anything while messages wait for an answer.
 
     Parameters
     ----------
@@ -200,7 +207,7 @@
         if (
             stream is None
             or stream.unsent_bytes() > UNSENT_LIMIT_BYTES
-            or self._streams[stream].is_silent(self.clock.now_ms())
+            or self._is_silent(stream)
         ):
             self.dropped_messages += 1
             return False
@@ -215,6 +222,9 @@
     def message_received(self, stream: Stream, message: Message) -> None:
         """Process a message; the first one on a stream must be the introduction."""
         peer = ReplicaId(stream.peer)
+        if stream not in self._streams:
+            # The connecting task has ended just as the handshake was completed.
+            return
         self._streams[stream].update(self.clock.now_ms())
         if isinstance(message, Introduction):
             self._introductions[stream] = message
@@ -266,11 +276,28 @@
         while True:
             await asyncio.sleep(KEEP_ALIVE_INTERVAL_MS / MS_PER_S)
             introduction = self.owner.introduce()
-            for stream, liveness in list(self._streams.items()):
-                if liveness.is_silent(self.clock.now_ms()):
-                    self._abort(stream)
-                elif stream.is_open():
+            silent = [stream for stream in self._streams if self._is_silent(stream)]
+            for stream in silent:
+                self._abort(stream)
+            for stream in filter(Stream.is_open, self._streams):
+                if self._repeats(stream):
                     self._send_on(stream, introduction)
+                else:
+                    stream.send(introduction)
+
+    def _repeats(self, stream: Stream) -> bool:
+        introduction = self._introductions.get(stream)
+        return introduction is None or introduction.repeats
+
+    def _is_silent(self, stream: Stream) -> bool:
+        now_ms = self.clock.now_ms()
+        if not self._streams[stream].is_silent(now_ms):
+            return False
+        return self._repeats(stream) or not any(
+            liveness.was_heard(now_ms)
+            for other, liveness in self._streams.items()
+            if other.peer == stream.peer
+        )
 
     def _send_on(self, stream: Stream, message: Message) -> None:
         stream.send(message)
--- a/cicadawheel/control/replica/runner.py
+++ b/cicadawheel/control/replica/runner.py
@@ -141,7 +141,9 @@
             raft = self.engine.raft
             newest = raft.membership
             settled = raft.log.membership_index <= raft.commit_index
-        return Introduction(self.bootstrap.folder, initial, agreed, newest, settled)
+        return Introduction(
+            self.bootstrap.folder, initial, agreed, newest, settled, repeats=True
+        )
 
     def replica_introduced(self, peer: ReplicaId, introduction: Introduction) -> None:
         """Process the introduction of another replica."""
--- a/test/test_replication_network.py
+++ b/test/test_replication_network.py
@@ -6,6 +6,7 @@
 
 from bench.ports import free_port
 from cicadawheel.control.raft.membership import Membership
+from cicadawheel.control.replica import network
 from cicadawheel.control.replica.message import Introduction, Report
 from cicadawheel.control.replica.network import SILENCE_LIMIT_MS, Network
 from cicadawheel.settings import Address
@@ -23,12 +24,15 @@
 class Owner:
     """Sends an introduction, and records what is received."""
 
+    repeats = True
+
     def __init__(self):
         self.introductions = asyncio.Queue()
         self.messages = asyncio.Queue()
 
     def introduce(self):
-        return Introduction("folder", (), Membership(), Membership())
+        memberships = (Membership(), Membership())
+        return Introduction("folder", (), *memberships, repeats=self.repeats)
 
     def replica_introduced(self, peer, introduction):
         self.introductions.put_nowait(peer)
@@ -104,6 +108,26 @@
     run_pair(body)
 
 
+def test_idle_stream_to_a_replica_of_an_older_version_is_kept(run_pair, monkeypatch):
+    repeat = Network._keep_alive
+
+    async def keep_alive(self):
+        await (asyncio.Event().wait() if self.identity.name == "b" else repeat(self))
+
+    monkeypatch.setattr(Owner, "repeats", False)
+    monkeypatch.setattr(Network, "_keep_alive", keep_alive)
+    monkeypatch.setattr(network, "KEEP_ALIVE_INTERVAL_MS", 1.0)
+
+    async def body(a, b, clock):
+        stream = a._outgoing["b"]
+        for _ in range(3):
+            clock.at_ms += SILENCE_LIMIT_MS + 1
+            await b.owner.introductions.get()
+        assert a._outgoing["b"] is stream
+
+    run_pair(body)
+
+
 def test_stream_that_brings_a_long_message_slowly_is_kept(run_pair):
     async def body(a, b, clock):
         assert a.send("b", Report(b"1"))
