Lost disks during a replacement: wait until the repair is committed

test_acknowledged_commands_survive_lost_disks_during_a_replacement says that two disks more may be lost once the repair is committed, but its loop went on when the leader had appended it. The next round then takes two disks while that of the replaced voter still counts: three of five, which may leave no majority for good.

The assertion is the stricter one of the two.

--- a/test/test_voters.py
+++ b/test/test_voters.py
@@ -229,9 +229,9 @@
         acknowledged += replace_and_lose_more(site, number)
         for _ in range(100):
             site.run_for(200)
-            if site.is_repaired():
+            if site.is_settled():
                 break
-        assert site.is_repaired()
+        assert site.is_settled()
         held = [text for text in site.applied[site.leader()] if text in acknowledged]
         assert held == acknowledged
     assert acknowledged
