Promote a learner that keeps up while commands are being committed

Callers saw: nothing yet. With fewer voters that have their disk than seems, the next two lost disks leave no majority for good.

Cause: a learner had to hold every committed entry at the moment of a check. With commands all the time and writes slower than those of a majority, it never does.

Evidence: in simulated time, a command each 5 ms, writes of 1 ms and of 20 to 40 or 60 to 80 ms at the learner, an election timeout of 100 ms: not promoted in 3 s.

Change: a learner is caught up too if it took less than two election timeouts to reach the commit index of an earlier check (the rounds of Ongaro's thesis, 4.2.1). One timeout isn't enough for writes of more than half of it, which voters may have. No change to what counts towards a commit: the learner acknowledges the change only with every entry before it.

--- a/cicadawheel/control/raft/leadership.py
+++ b/cicadawheel/control/raft/leadership.py
@@ -18,6 +18,8 @@
 
 APPEND_LIMIT_BYTES = 512 * 1024
 CHUNK_LIMIT_BYTES = 256 * 1024
+# A write may take an election timeout, and an entry waits for the write before its own.
+CATCH_UP_TIMEOUTS = 2
 
 
 class RaftOptions(msgspec.Struct, frozen=True):
@@ -238,9 +240,11 @@
 
     def _is_caught_up(self, learner: ReplicaId, now_ms: float) -> bool:
         progress = self.peers.get(learner)
-        if progress is None or progress.match_index < self.commit_index:
+        timeout_ms = self.options.election_timeout_ms
+        if progress is None or not progress.is_active(now_ms, timeout_ms):
             return False
-        return progress.is_active(now_ms, self.options.election_timeout_ms)
+        limit_ms = CATCH_UP_TIMEOUTS * timeout_ms
+        return progress.is_caught_up(self.commit_index, now_ms, limit_ms)
 
     def _is_lost(self, voter: ReplicaId, now_ms: float) -> bool:
         progress = self.peers.get(voter)
--- a/cicadawheel/control/raft/progress.py
+++ b/cicadawheel/control/raft/progress.py
@@ -27,6 +27,8 @@
         self.sent_commit = LogIndex(0)
         self.sent_round = 0
         self.acked_round = 0
+        self._target_index = LogIndex(0)
+        self._target_set_ms = float("-inf")
         self.snapshot: Snapshot | None = None
         self.snapshot_offset_bytes = 0
         self.chunk_in_flight = False
@@ -45,6 +47,24 @@
         """Return whether the peer was heard from within a timeout."""
         return now_ms - self.heard_ms < timeout_ms
 
+    def is_caught_up(
+        self, commit_index: LogIndex, now_ms: float, limit_ms: float
+    ) -> bool:
+        """Return whether the peer holds every committed entry but the latest.
+
+        While commands are being committed, a peer may never hold all entries at one
+        moment. It is enough that it took less than ``limit_ms`` to reach the commit
+        index of an earlier call.
+        """
+        if self.match_index >= commit_index:
+            return True
+        if self.match_index < self._target_index:
+            return False
+        in_time = now_ms - self._target_set_ms < limit_ms
+        self._target_index = commit_index
+        self._target_set_ms = now_ms
+        return in_time
+
     def begin_snapshot(self, snapshot: Snapshot) -> None:
         """Start sending a snapshot, before any further entries."""
         self.snapshot = snapshot
--- a/cicadawheel/control/raft/voters.py
+++ b/cicadawheel/control/raft/voters.py
@@ -29,7 +29,8 @@
         The wanted number of voters. With 0 every learner is promoted, and lost
         replicas are only removed by operators.
     is_caught_up : callable
-        Whether a learner has all committed entries and was heard from recently.
+        Whether a learner has the committed entries, but for the latest, and was heard
+        from recently.
     is_lost : callable
         Whether a voter has been silent for long enough to be replaced by a learner.
     """
--- a/test/test_voters.py
+++ b/test/test_voters.py
@@ -235,3 +235,23 @@
         held = [text for text in site.applied[site.leader()] if text in acknowledged]
         assert held == acknowledged
     assert acknowledged
+
+
+@pytest.mark.parametrize("learner_write_ms", [(20.0, 40.0), (60.0, 80.0)])
+def test_learner_with_slow_disk_is_promoted_while_commands_are_committed(
+    learner_write_ms,
+):
+    site = Site(1)
+    leader = site.elect()
+    site.durations_ms = dict.fromkeys(HOSTS, (1.0, 1.0))
+    host = next(name for name in HOSTS if name != leader)
+    site.lose_disk(host, "x")
+    fresh = site.names[host]
+    site.durations_ms[fresh] = learner_write_ms
+    for turn in range(600):
+        site.pass_time(5)
+        site.join()
+        site.rafts[leader].propose(b"%d" % turn)
+        if site.rafts[leader].membership.is_voter(fresh):
+            return
+    raise AssertionError("the learner was not promoted within 3 s")
