Ask to join again when the entry that added this replica is lost

Callers saw: a replica without a leader for good, also over restarts, and one voter fewer than seems.

Cause: a joining replica takes its membership from the newest entry of its log. If the leader that sent it dies or loses its disk before a majority has it, the replica believes itself a member and asks nobody; the others know nothing of it and never send to it.

Evidence: test_joining_replica_asks_again_when_the_entry_that_added_it_is_lost starts a replica with such a log beside three of five voters.

Change: it counts itself as outside if it has heard no leader for three election timeouts and a replica that it reaches says in its introduction that its committed membership lacks it. It keeps id, folder, votes and log.

--- a/cicadawheel/control/replica/runner.py
+++ b/cicadawheel/control/replica/runner.py
@@ -37,6 +37,8 @@
 # Interval at which a replica that is not a member looks for others. It is well below
 # the duration of an election.
 DISCOVERY_INTERVAL_MS = 200.0
+# An election with a lost vote takes as long, so that it isn't taken for being alone.
+ALONE_TIMEOUTS = 3
 
 
 class RunnerOwner(Protocol):
@@ -111,6 +113,9 @@
         self._targets_membership: Membership | None = None
         self._is_removed = False
         self._join_attempts = itertools.count()
+        self._leaderless_since_ms = timers.clock.now_ms()
+        self._denied_by: set[ReplicaId] = set()
+        """The replicas whose committed membership lacks this one."""
 
     async def run(self) -> None:
         """Run the replica until cancelled.
@@ -151,6 +156,7 @@
         self.bootstrap.receive(peer, introduction)
         if (self.bootstrap.state, self.bootstrap.reason) != before:
             self._log_bootstrap(peer)
+        self._record_denial(peer, introduction)
         removed = self.replica in introduction.membership.removed
         if self.control.seeds and introduction.settled and removed:
             self._is_removed = True
@@ -221,6 +227,7 @@
             identity = Identity(self.replica, bootstrap.folder, bootstrap.membership)
             await asyncio.to_thread(storage.save_identity, identity)
             saved = _with_bootstrap(saved, bootstrap.membership)
+        self._leaderless_since_ms = self.timers.clock.now_ms()
         self.engine = self._make_engine(storage, saved)
         tick_ms = self.control.heartbeat_ms / TICKS_PER_HEARTBEAT
         ticks = self.timers.every(tick_ms, self.engine.tick)
@@ -240,13 +247,41 @@
         own = self.control.replica_address
         while True:
             seeds = {Address(seed.host, own.port) for seed in self.seeds}
-            raft = None if self.engine is None else self.engine.raft
-            is_outside = raft is not None and raft.membership.find(self.replica) is None
+            is_outside = self._is_outside()
             self.network.set_seed_addresses(seeds - {own} if is_outside else set())
             if is_outside:
                 self._ask_to_join(own)
             await asyncio.sleep(DISCOVERY_INTERVAL_MS / MS_PER_S)
 
+    def _is_outside(self) -> bool:
+        """Return whether this replica is no member, as far as it can know.
+
+        The entry that added it may be lost with the leader that sent it. Then its own
+        log says that it is a member, and the others know nothing of it.
+        """
+        if self.engine is None:
+            return False
+        if self.engine.raft.membership.find(self.replica) is None:
+            return True
+        reachable = self.network.reachable()
+        denied = not self._denied_by.isdisjoint(reachable)
+        return denied and self._is_left_alone()
+
+    def _is_left_alone(self) -> bool:
+        """Return whether the log runs and no leader has been heard for a while."""
+        if self.engine is None or self.engine.raft.leader is not None:
+            return False
+        leaderless_ms = self.timers.clock.now_ms() - self._leaderless_since_ms
+        return leaderless_ms >= ALONE_TIMEOUTS * self.control.election_timeout_ms
+
+    def _record_denial(self, peer: ReplicaId, introduction: Introduction) -> None:
+        members = introduction.membership.members
+        is_member = introduction.membership.find(self.replica) is not None
+        if introduction.settled and members and not is_member:
+            self._denied_by.add(peer)
+        else:
+            self._denied_by.discard(peer)
+
     def _ask_to_join(self, own: Address) -> None:
         reachable = self.network.reachable()
         if reachable:
@@ -341,6 +376,7 @@
         leader = self.engine.raft.leader
         if leader != self._leader:
             self._leader = leader
+            self._leaderless_since_ms = self.timers.clock.now_ms()
             self.owner.leader_changed()
 
     def _update_leads(self) -> None:
--- a/test/test_assembly.py
+++ b/test/test_assembly.py
@@ -6,14 +6,19 @@
 from replicas import Replica, command
 
 from bench.ports import free_port
+from cicadawheel.control.raft.entry import HardState, LogEntry, WriteBatch
+from cicadawheel.control.raft.membership import ReplicaMember
+from cicadawheel.control.replica.message import Join
 from cicadawheel.control.replica_naming import clear_folder, name_replica
-from cicadawheel.control.storage import DiskFiles
+from cicadawheel.control.storage import DiskFiles, Storage
 from cicadawheel.control.storage.identity import Identity
 from cicadawheel.control.storage.store import IDENTITY_NAME
 from cicadawheel.control.storage.value import write_value
 from cicadawheel.settings import Address, load_settings
 
 HOSTS = [f"127.0.0.{number}" for number in range(11, 17)]
+FOLDER = "folder"
+RECOVERY_S = 15.0
 INI = """
 [process]
 name = {host}
@@ -70,6 +75,22 @@
     def leader(self):
         return next((one for one in self.running.values() if one.log.leads), None)
 
+    def host_of_leader(self):
+        return next(host for host, one in self.running.items() if one.log.leads)
+
+    def raft(self, host):
+        return self.running[host].log._runner.engine.raft
+
+    async def until_votes(self, host):
+        """Wait until the replica that runs at a host is a voter."""
+        replica = self.running[host].log.replica
+        async with asyncio.timeout(RECOVERY_S):
+            while not any(
+                one.log.leads and replica in one.log.status().voters
+                for one in self.running.values()
+            ):
+                await asyncio.sleep(0.01)
+
     async def until_voters(self, *hosts):
         """Wait until the voters are exactly the replicas at these hosts."""
 
@@ -148,6 +169,59 @@
     run_on_vms(work)
 
 
+def write_log(settings, entries, term):
+    """Store the identity and the log of a replica that isn't running."""
+    control = settings.control
+    storage = Storage(DiskFiles(control.data_folder))
+    storage.load()
+    storage.save_identity(Identity(control.replica, FOLDER))
+    storage.write(WriteBatch(HardState(term), entries=entries))
+    storage.close()
+
+
+def test_joining_replica_asks_again_when_the_entry_that_added_it_is_lost(run_on_vms):
+    async def work(vms):
+        vms.start(*HOSTS[:5])
+        await vms.until_voters(*HOSTS[:5])
+        leader = vms.host_of_leader()
+        follower = next(host for host in HOSTS[:5] if host != leader)
+        raft = vms.raft(leader)
+        await vms.stop(follower)
+        vms.lose_disk(follower)
+        settings = name_replica(vms.settings(follower, may_form=False))
+        joined = ReplicaMember(
+            settings.replica, follower, vms.port, FOLDER, voter=False
+        )
+        index = raft.log.last_index + 1
+        added = LogEntry(index, raft.term, raft.membership.with_learner(joined))
+        entries = (*raft.log.slice(1, index - 1, 1_000_000), added)
+        term = raft.term
+        await vms.stop(leader)
+        write_log(settings, entries, term)
+        vms.start(follower, may_form=False)
+        await vms.until_votes(follower)
+
+    run_on_vms(work)
+
+
+def test_member_that_asks_to_join_stays_what_it_is(run_on_vms):
+    async def work(vms):
+        vms.start(*HOSTS[:5])
+        await vms.until_voters(*HOSTS[:5])
+        leader = vms.leader()
+        membership = vms.raft(vms.host_of_leader()).membership
+        for member in membership.members:
+            for replica in vms.running.values():
+                join = Join(member.replica, member.host, member.port)
+                replica.log.message_received(member.replica, join)
+        await leader.log.propose(command("a"))
+        for replica in vms.running.values():
+            await replica.until(lambda r=replica: r.machine.texts == ["a"])
+        assert vms.raft(vms.host_of_leader()).membership == membership
+
+    run_on_vms(work)
+
+
 def test_replicas_that_may_not_form_do_not_elect_a_leader(run_on_vms):
     async def work(vms):
         vms.start(*HOSTS[:5], may_form=False)
