Look for members at the seeds while no leader is heard

Callers saw: a replica without a leader for good, also over restarts.

Cause: a replica that was removed while it was away connects to the members that it knows. If all of those have lost their disks since and came back under other ids, each address belongs to another replica (wrong_replica, ten times a second), the streams end before the introductions, and it never learns that it was removed.

Evidence: test_removed_replica_finds_out_when_all_that_it_knew_were_replaced failed before (it still ran after 15 s). Whoever answers at a seed is accepted, as for a replica that isn't a member.

Change: it connects to the seeds too when it has heard no leader for three election timeouts.

--- a/cicadawheel/control/replica/runner.py
+++ b/cicadawheel/control/replica/runner.py
@@ -243,12 +243,17 @@
         )
 
     async def _discover_replicas(self) -> None:
-        """Connect to the seeds and ask to join whenever this replica is no member."""
+        """Ask to join whenever this replica is no member.
+
+        It connects to the seeds then, and while it hears no leader: of the members that
+        it knows, all may have been replaced.
+        """
         own = self.control.replica_address
         while True:
             seeds = {Address(seed.host, own.port) for seed in self.seeds}
             is_outside = self._is_outside()
-            self.network.set_seed_addresses(seeds - {own} if is_outside else set())
+            looks = is_outside or self._is_left_alone()
+            self.network.set_seed_addresses(seeds - {own} if looks else set())
             if is_outside:
                 self._ask_to_join(own)
             await asyncio.sleep(DISCOVERY_INTERVAL_MS / MS_PER_S)
--- a/test/test_assembly.py
+++ b/test/test_assembly.py
@@ -14,6 +14,7 @@
 from cicadawheel.control.storage.identity import Identity
 from cicadawheel.control.storage.store import IDENTITY_NAME
 from cicadawheel.control.storage.value import write_value
+from cicadawheel.errors import ReplicaRemovedError
 from cicadawheel.settings import Address, load_settings
 
 HOSTS = [f"127.0.0.{number}" for number in range(11, 17)]
@@ -204,6 +205,30 @@
     run_on_vms(work)
 
 
+def test_removed_replica_finds_out_when_all_that_it_knew_were_replaced(run_on_vms):
+    async def work(vms):
+        vms.start(*HOSTS[:5])
+        await vms.until_voters(*HOSTS[:5])
+        removed = HOSTS[4]
+        await vms.stop(removed)
+        vms.start(HOSTS[5], may_form=False)
+        await vms.until_voters(*HOSTS[:4], HOSTS[5])
+        for hosts in (HOSTS[:2], HOSTS[2:4]):
+            await vms.stop(*hosts)
+            for host in hosts:
+                vms.lose_disk(host)
+            vms.start(*hosts, may_form=False)
+            for host in hosts:
+                await vms.until_votes(host)
+        await vms.stop(HOSTS[5])
+        vms.start(removed, may_form=False)
+        with pytest.raises(ReplicaRemovedError):
+            await asyncio.wait_for(vms.running[removed].task, RECOVERY_S)
+        del vms.running[removed]
+
+    run_on_vms(work)
+
+
 def test_member_that_asks_to_join_stays_what_it_is(run_on_vms):
     async def work(vms):
         vms.start(*HOSTS[:5])
