Form without a seed whose disk is lost, by the agreement of another

Callers saw: no leader for good after one lost disk, if a second of three first replicas had lost power between storing its id and the agreement. It waits for the introduction of an id that never comes back, and the third one has no majority.

Excluded: that it waits with replicas that joined later.

Change: with seeds, it doesn't wait for a listed replica at whose address another one answers, and adopts the agreement of a replica that lists it with its own folder. Why that is safe is in docs/design/replication.md.

A peer of an older version tells its agreement only when a stream opens, so that the wait may last until one does.

--- a/cicadawheel/control/replica/bootstrap.py
+++ b/cicadawheel/control/replica/bootstrap.py
@@ -4,6 +4,10 @@
 settings, and has stored these ids. A replica that lost its folder comes back with a
 new id, which the replicas that stored the old one refuse. So a replica that lost its
 votes and acknowledgements with its disk can't contradict them.
+
+One that has lost its disk can't introduce itself any more. It isn't waited for if
+another replica has stored an agreement with this one's folder:
+docs/design/replication.md explains why that is as safe.
 """
 
 from enum import Enum
@@ -54,11 +58,21 @@
         self.membership = bootstrap
         self.reason = ""
         self._folders: dict[ReplicaId, FolderId] = {replica: folder}
+        self._agreed = Membership()
         self.state = self._initial_bootstrap_state(has_log)
         self._try_form()
 
-    def receive(self, peer: ReplicaId, introduction: Introduction) -> None:
-        """Process the introduction of another replica."""
+    def receive(
+        self,
+        peer: ReplicaId,
+        introduction: Introduction,
+        displaced: frozenset[ReplicaId] = frozenset(),
+    ) -> None:
+        """Process the introduction of another replica.
+
+        ``displaced`` are the replicas whose disks are lost, as another one has their
+        address.
+        """
         reason = self._rejection_reason(peer, introduction)
         self.reason = reason or self.reason
         if reason and self.state is not BootstrapState.FORMED:
@@ -69,11 +83,13 @@
             if introduction.bootstrap.find(self.replica) is None:
                 self.state = BootstrapState.JOINING
                 return
+            self._agreed = introduction.bootstrap
         elif set(introduction.initial) != self._initial_ids():
             self.reason = f"replica {peer} has other initial replicas in its settings"
             return
         self._folders[peer] = introduction.folder
         self._try_form()
+        self._try_adopt(displaced)
 
     def _initial_bootstrap_state(self, has_log: bool) -> BootstrapState:
         if self.membership.members:
@@ -112,3 +128,12 @@
         self.membership = Membership(tuple(members))
         self.reason = ""
         self.state = BootstrapState.FORMED
+
+    def _try_adopt(self, displaced: frozenset[ReplicaId]) -> None:
+        """Adopt the agreement of others if the rest of them have lost their disks."""
+        missing = self._initial_ids() - set(self._folders)
+        is_waiting = self.state is BootstrapState.WAITING
+        if is_waiting and self._agreed.members and missing <= displaced:
+            self.membership = self._agreed
+            self.reason = ""
+            self.state = BootstrapState.FORMED
--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -124,6 +124,8 @@
         self._outgoing: dict[ReplicaId, Stream] = {}
         self._incoming: dict[ReplicaId, Stream] = {}
         self.dropped_messages = 0
+        self.displaced: set[ReplicaId] = set()
+        """The targets at whose addresses another replica has answered since."""
         self._introductions: dict[Stream, Introduction] = {}
         self._streams: dict[Stream, _Liveness] = {}
         self._closed: dict[Stream, asyncio.Event] = {}
@@ -369,11 +371,13 @@
             if stream.peer == self.identity.name:
                 stream.close()
             elif replica is not None and stream.peer != replica:
+                self.displaced.add(replica)
                 stream.abort(
                     ProtocolError("address belongs to another replica", peer=replica)
                 )
                 log_event(log, "wrong_replica", peer=stream.peer, address=str(address))
             elif stream in self._streams and stream.is_open():
+                self.displaced.discard(ReplicaId(stream.peer))
                 self._outgoing[ReplicaId(stream.peer)] = stream
                 await closed.wait()
         finally:
--- a/cicadawheel/control/replica/runner.py
+++ b/cicadawheel/control/replica/runner.py
@@ -153,7 +153,9 @@
     def replica_introduced(self, peer: ReplicaId, introduction: Introduction) -> None:
         """Process the introduction of another replica."""
         before = (self.bootstrap.state, self.bootstrap.reason)
-        self.bootstrap.receive(peer, introduction)
+        # Only names that were given by host stay with their address.
+        displaced = self.network.displaced if self.control.seeds else ()
+        self.bootstrap.receive(peer, introduction, frozenset(displaced))
         if (self.bootstrap.state, self.bootstrap.reason) != before:
             self._log_bootstrap(peer)
         self._record_denial(peer, introduction)
--- a/test/test_assembly.py
+++ b/test/test_assembly.py
@@ -1,6 +1,9 @@
 """Tests of replicas that find each other by seeds, and replace lost members."""
 
 import asyncio
+import errno
+import functools
+import threading
 
 import pytest
 from replicas import Replica, command
@@ -14,7 +17,7 @@
 from cicadawheel.control.storage.identity import Identity
 from cicadawheel.control.storage.store import IDENTITY_NAME
 from cicadawheel.control.storage.value import write_value
-from cicadawheel.errors import ReplicaRemovedError
+from cicadawheel.errors import ReplicaRemovedError, StorageError
 from cicadawheel.settings import Address, load_settings
 
 HOSTS = [f"127.0.0.{number}" for number in range(11, 17)]
@@ -61,10 +64,10 @@
         path.write_text(text)
         return load_settings(path)
 
-    def start(self, *hosts, may_form=True):
+    def start(self, *hosts, may_form=True, files=DiskFiles):
         for host in hosts:
             settings = name_replica(self.settings(host, may_form))
-            self.running[host] = Replica(settings)
+            self.running[host] = Replica(settings, files)
 
     async def stop(self, *hosts):
         for host in hosts or list(self.running):
@@ -108,6 +111,20 @@
                 await asyncio.sleep(0.01)
 
 
+class PowerLostFiles(DiskFiles):
+    """Files that lose power while the identity is being replaced."""
+
+    def __init__(self, folder, power_lost):
+        super().__init__(folder)
+        self.power_lost = power_lost
+
+    def rename(self, old, new):
+        if new == IDENTITY_NAME and new in self.names():
+            self.power_lost.wait(RECOVERY_S)
+            raise OSError(errno.EIO, "power lost")
+        super().rename(old, new)
+
+
 @pytest.fixture
 def run_on_vms(tmp_path):
     """Return a function that runs a coroutine function on a `LoopbackVms`."""
@@ -247,6 +264,37 @@
     run_on_vms(work)
 
 
+@pytest.mark.parametrize("joined", [HOSTS[3:5], ()])
+def test_replica_that_lost_the_agreement_forms_when_another_lost_its_disk(
+    run_on_vms, joined
+):
+    async def work(vms):
+        kept, wiped, unaware = HOSTS[:3]
+        power_lost = threading.Event()
+        vms.start(kept, wiped)
+        vms.start(
+            unaware, files=functools.partial(PowerLostFiles, power_lost=power_lost)
+        )
+        vms.start(*joined)
+        await vms.until_voters(*HOSTS[:3], *joined)
+        await vms.leader().log.propose(command("a"))
+        power_lost.set()
+        with pytest.raises(StorageError):
+            await vms.running.pop(unaware).task
+        await vms.stop(wiped)
+        vms.lose_disk(wiped)
+        vms.start(wiped, may_form=False)
+        if joined:
+            await vms.until_votes(wiped)
+        vms.start(unaware, may_form=False)
+        for host in (wiped, unaware):
+            await vms.until_votes(host)
+            replica = vms.running[host]
+            await replica.until(lambda r=replica: r.machine.texts == ["a"])
+
+    run_on_vms(work)
+
+
 def test_replicas_that_may_not_form_do_not_elect_a_leader(run_on_vms):
     async def work(vms):
         vms.start(*HOSTS[:5], may_form=False)
