Guard: a removed replica learns of it while its streams stay open

A voter that was silent for 5 s while a learner with another address waits is removed, and nobody sends to it any more. If its own streams to the others stay open, it asked for pre-votes on them for good, as introductions came only when a stream opened.

No change of logic.

--- a/test/test_assembly.py
+++ b/test/test_assembly.py
@@ -246,6 +246,24 @@
     run_on_vms(work)
 
 
+def test_replica_learns_that_it_was_removed_while_its_streams_stay_open(run_on_vms):
+    async def work(vms):
+        vms.start(*HOSTS[:5])
+        await vms.until_voters(*HOSTS[:5])
+        removed = next(host for host in HOSTS[:5] if host != vms.host_of_leader())
+        replica = vms.running[removed]
+        runner = replica.log._runner
+        runner.send = lambda peer, message: False
+        runner.engine.receive = lambda peer, message: None
+        vms.start(HOSTS[5], may_form=False)
+        await vms.until_votes(HOSTS[5])
+        with pytest.raises(ReplicaRemovedError):
+            await asyncio.wait_for(replica.task, RECOVERY_S)
+        del vms.running[removed]
+
+    run_on_vms(work)
+
+
 def test_member_that_asks_to_join_stays_what_it_is(run_on_vms):
     async def work(vms):
         vms.start(*HOSTS[:5])
