Find silent idle streams between nodes before the next call

Callers saw: 3 s and 20 s after the streams between nodes had gone silent, the first call to a node failed. One that never repeats was answered 502 'may have run' after 2.41 s, though it had not run; the second call was answered. (Trial on a site in one loop, both waits; a load that the gate pushed meanwhile was lost too, and the node is ejected for probes that the silent stream doesn't carry.)

Cause: an entry probed the streams with calls only. An idle one was found silent by its next call, after 2 s. Nothing else replaced it.

Excluded: that the router's probes find it; they eject the node and keep the stream.

Change: a wanted idle stream is probed if it has brought nothing for 500 ms, at most four streams in each check of 250 ms. Once two streams owe an answer for 500 ms, all idle ones are probed at once, every 2 s at most, as a fault of the network may hit all of them. One that brings nothing for 1 s is aborted and opened again. Streams with calls keep 2 s. Nodes of both versions answer probes, so that no message is new.

test_silent_links.py: the three tests of silent streams failed before (no new stream in 3 s).

--- a/cicadawheel/entry/peers.py
+++ b/cicadawheel/entry/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import logging
+import math
 from collections.abc import Iterable
 from typing import Protocol
 
@@ -36,6 +37,13 @@
 
 CHECK_INTERVAL_MS = 250.0
 SILENCE_LIMIT_MS = 2_000.0
+# The end of an idle stream costs a reconnection only.
+IDLE_SILENCE_LIMIT_MS = 1_000.0
+IDLE_PROBE_INTERVAL_MS = 500.0
+IDLE_PROBES_PER_CHECK = 4
+# When two streams bring nothing for this long, all idle ones are probed.
+SUSPECT_AFTER_MS = 500.0
+SWEEP_INTERVAL_MS = 2_000.0
 # After a power failure members leave and rejoin in bursts; idle streams are kept
 # long enough to outlast those.
 UNUSED_LIMIT_MS = 5_000.0
@@ -105,8 +113,11 @@
         self.connect_timeout_ms = connect_timeout_ms
         self.listener = listener
         self.sent_bytes = 0
-        self._last_received_bytes = 0
-        self._last_received_at_ms = 0.0
+        self._received_bytes = 0
+        self._checked_at_ms = 0.0
+        self._heard_at_ms = 0.0
+        self._awaiting_since_ms: float | None = None
+        self._reopens = False
         self._stream: Stream | None = None
         self._connecting: asyncio.Task | None = None
         self._unsent: list[CallOpen | CallMessage | Probe | ViewRequest] = []
@@ -142,22 +153,54 @@
         if self._stream is None and self._connecting is None:
             self._connecting = asyncio.ensure_future(self._connect())
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the stream is open and has no calls."""
+        return self._stream is not None and not self._sinks
+
+    def quiet_ms(self, now_ms: float) -> float:
+        """Return for how long an answer of the node has been awaited."""
+        since_ms = self._awaiting_since_ms
+        return 0.0 if since_ms is None else now_ms - since_ms
+
+    def probe_due_ms(self) -> float:
+        """Return when the next probe of the idle stream is due."""
+        if self._awaiting_since_ms is not None:
+            return math.inf
+        return self._heard_at_ms + IDLE_PROBE_INTERVAL_MS
+
     def check(self, now_ms: float) -> None:
-        """Abort the stream if calls wait on it and the node has become unresponsive."""
+        """Abort the stream if an answer is awaited and the node is unresponsive.
+
+        An idle stream that was aborted is opened again.
+        """
         stream = self._stream
-        if stream is None or not self._sinks:
-            self._last_received_at_ms = now_ms
+        if stream is None:
             return
-        if stream.received_bytes != self._last_received_bytes:
-            self._last_received_bytes = stream.received_bytes
-            self._last_received_at_ms = now_ms
-        elif now_ms - self._last_received_at_ms > SILENCE_LIMIT_MS:
+        heard = stream.received_bytes != self._received_bytes
+        if heard:
+            self._received_bytes = stream.received_bytes
+            self._heard_at_ms = now_ms
+            self._awaiting_since_ms = None
+        elif self._sinks and self._awaiting_since_ms is None:
+            self._awaiting_since_ms = self._checked_at_ms
+        self._checked_at_ms = now_ms
+        limit_ms = SILENCE_LIMIT_MS if self._sinks else IDLE_SILENCE_LIMIT_MS
+        if self.quiet_ms(now_ms) > limit_ms:
+            self._reopens = not self._sinks
             stream.abort(ConnectionLostError("node is silent", peer=self.member.node))
-        else:
+        elif self._sinks and not heard:
+            self.send(Probe(StreamId(0)))
+
+    def probe_idle(self, now_ms: float) -> None:
+        """Probe an idle stream, to find out whether it still carries anything."""
+        if self._awaiting_since_ms is None:
+            self._awaiting_since_ms = now_ms
             self.send(Probe(StreamId(0)))
 
     def close(self) -> None:
         """Close the stream; its calls end as lost."""
+        self._reopens = False
         if self._connecting is not None:
             self._connecting.cancel()
         if self._stream is not None:
@@ -190,8 +233,12 @@
     def stream_closed(self, stream: Stream, error: PeerError | None) -> None:
         """End the calls that were sent as lost: each of them may have run."""
         self._stream = None
+        self._awaiting_since_ms = None
         log_event(log, "peer_lost", peer=self.member.node, reason=error)
         self._end_calls(not_run=False)
+        if self._reopens:
+            self._reopens = False
+            self.open_stream()
 
     async def _connect(self) -> None:
         member = self.member
@@ -248,6 +295,7 @@
         self._links: dict[NodeId, PeerLink] = {}
         self._wanted: set[NodeId] = set()
         self._unused_since_ms: dict[NodeId, float] = {}
+        self._swept_at_ms = -math.inf
 
     def link(self, member: Member) -> PeerLink:
         """Return the link to a node, replaced if the node's address has changed."""
@@ -274,6 +322,25 @@
             if now_ms - since_ms > UNUSED_LIMIT_MS:
                 del self._unused_since_ms[node]
                 self._links.pop(node).close()
+        self._probe_idle_links(now_ms)
+
+    def _probe_idle_links(self, now_ms: float) -> None:
+        """Probe the idle links in turn, and all of them if several links are quiet.
+
+        A fault of the network may silence many connections at the same moment.
+        """
+        links = self._links.values()
+        idle = [one for one in links if one.is_idle and one.member.node in self._wanted]
+        suspects = sum(one.quiet_ms(now_ms) >= SUSPECT_AFTER_MS for one in links)
+        if suspects >= 2 and now_ms - self._swept_at_ms >= SWEEP_INTERVAL_MS:
+            self._swept_at_ms = now_ms
+            chosen = idle
+        else:
+            due = [one for one in idle if one.probe_due_ms() <= now_ms]
+            due.sort(key=PeerLink.probe_due_ms)
+            chosen = due[:IDLE_PROBES_PER_CHECK]
+        for link in chosen:
+            link.probe_idle(now_ms)
 
     def keep_only(self, nodes: set[NodeId]) -> None:
         """Close the idle links to nodes that are no longer members."""
--- /dev/null
+++ b/test/test_silent_links.py
@@ -0,0 +1,152 @@
+"""Streams of an entry to other nodes that go silent, while new ones work."""
+
+import asyncio
+import contextlib
+
+import msgspec
+import pytest
+from lone_gate import make_call
+from site_in_loop import call, until
+
+from bench.faultproxy import start_proxy
+from cicadawheel.configuration import Configuration, Member
+from cicadawheel.control.messages import View
+from cicadawheel.entry import peers
+from cicadawheel.entry.peers import PeerLinks
+from cicadawheel.gate.gate import Gate
+from cicadawheel.gate.server import PeerStreams, serve_peers
+from cicadawheel.messages import RefusalReason
+from cicadawheel.platform.headers import PLATFORM_DIALECT
+from cicadawheel.settings import Address, GateSettings
+from cicadawheel.timer import make_timer_service
+from cicadawheel.wire.stream import Identity
+
+CONTACT_WINDOW_S = 3.0
+CONNECT_TIMEOUT_MS = 2_000.0
+MANY_LINKS = 60
+
+
+def identity(name):
+    return Identity(name, "boot", b"a key of sixteen characters")
+
+
+class Loads:
+    """Counts the load reports of each node."""
+
+    def __init__(self):
+        self.counts = {}
+
+    def load_received(self, node, load):
+        self.counts[node] = self.counts.get(node, 0) + 1
+
+
+class LinkedEntry:
+    """The links of one entry, through a proxy, to a gate that all members share."""
+
+    def __init__(self):
+        self.timers = make_timer_service()
+        self.gate = Gate(GateSettings(), "dc", self.timers, "n1", PLATFORM_DIALECT)
+        self.streams = PeerStreams()
+        self.loads = Loads()
+        self.links = PeerLinks(identity("n0"), CONNECT_TIMEOUT_MS, self.loads)
+
+    async def start(self, count):
+        view = View(5, Configuration(1), (), ())
+        self.server = await serve_peers(
+            Address("127.0.0.1", 0),
+            identity("n1"),
+            self.gate,
+            lambda: view,
+            self.streams,
+        )
+        target = Address(*self.server.sockets[0].getsockname())
+        self.proxy = await start_proxy(target)
+        host, port = self.proxy.address.host, self.proxy.address.port
+        self.members = [
+            Member(f"n{i}", f"u{i}", "s", "v1", "d0", host, port, 4, 10)
+            for i in range(1, count + 1)
+        ]
+        self.links.set_wanted({member.node for member in self.members})
+        self.links.connect(self.members)
+        await until(lambda: len(self.loads.counts) == count)
+        self.timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
+
+    async def close(self):
+        self.links.close()
+        self.server.close()
+        await self.proxy.close()
+        self.gate.close()
+
+
+@contextlib.asynccontextmanager
+async def linked_entry(count):
+    entry = LinkedEntry()
+    await entry.start(count)
+    try:
+        yield entry
+    finally:
+        await entry.close()
+
+
+@pytest.mark.parametrize("count", [1, MANY_LINKS])
+def test_idle_links_that_went_silent_are_replaced_before_the_next_call(count):
+    async def work():
+        async with linked_entry(count) as entry:
+            entry.proxy.silence()
+            entry.loads.counts.clear()
+            async with asyncio.timeout(CONTACT_WINDOW_S):
+                while len(entry.loads.counts) < count:
+                    await asyncio.sleep(0.01)
+            answers = []
+            entry.links.link(entry.members[-1]).open(make_call("r"), answers.append)
+            async with asyncio.timeout(peers.CHECK_INTERVAL_MS / 1_000.0):
+                while not answers:
+                    await asyncio.sleep(0.01)
+            assert answers[0].reason is not RefusalReason.PEER_LOST
+
+    asyncio.run(work())
+
+
+def test_probes_of_idle_links_are_bounded():
+    async def work():
+        async with linked_entry(MANY_LINKS) as entry:
+            now_ms = entry.timers.clock.now_ms()
+            entry.links.check(now_ms)
+            later_ms = now_ms + peers.IDLE_PROBE_INTERVAL_MS
+            entry.links.check(later_ms)
+            probed = [one for one in links_of(entry) if one.quiet_ms(later_ms + 1.0)]
+            assert len(probed) == peers.IDLE_PROBES_PER_CHECK
+
+    asyncio.run(work())
+
+
+def links_of(entry):
+    return [entry.links.link(member) for member in entry.members]
+
+
+def test_call_that_never_repeats_is_answered_after_idle_links_went_silent(on_site):
+    async def work(site):
+        entry, other = site.nodes
+        proxy = await start_proxy(other.settings.node.peer_address)
+        link = entry.links.link
+
+        def link_by_proxy(member):
+            host, port = proxy.address.host, proxy.address.port
+            return link(msgspec.structs.replace(member, host=host, port=port))
+
+        entry.links.link = link_by_proxy
+        await site.leave(site.upstreams[0])
+        entry.links.set_wanted({other.node})
+        answer = await call(entry, "GET", "/list")
+        assert answer.status == 200
+        accepted = proxy.accepted
+        proxy.silence()
+        async with asyncio.timeout(CONTACT_WINDOW_S):
+            while proxy.accepted == accepted:
+                await asyncio.sleep(0.01)
+        async with asyncio.timeout(1.0):
+            answer = await call(entry, "POST", "/book", idempotency_key="k")
+        assert answer.status == 200
+        await proxy.close()
+
+    on_site(work)
