Control closes the session of a node that it no longer hears

A stream that went silent in both directions left its session open as well, to which control went on sending views.

Cause: a node leaves a replica that it doesn't hear, but a replica never judged its nodes.

Excluded: that the node finds out by itself. It gets heartbeats, and no answer to its renewals is due.

The node connects again, and views queue for 2 s at most.

The fault proxy can silence one direction.

--- a/bench/faultproxy.py
+++ b/bench/faultproxy.py
@@ -55,7 +55,7 @@
         self._direction = direction
         self._pieces: asyncio.Queue = asyncio.Queue(PIECES_IN_DELAY)
         self._flowed_bytes = 0
-        self._silencings = proxy.silencings
+        self._silencings = proxy.silencings[direction]
 
     async def run(self, reader, writer) -> None:
         """Forward bytes until the stream ends or is truncated."""
@@ -80,7 +80,7 @@
             due_s, data = await self._pieces.get()
             await asyncio.sleep(max(0.0, due_s - loop.time()))
             await self._proxy.wait_thawed(self._direction)
-            if self._silencings != self._proxy.silencings:
+            if self._silencings != self._proxy.silencings[self._direction]:
                 await asyncio.Event().wait()
             if not data:
                 writer.write_eof()
@@ -108,7 +108,7 @@
         self.target = target
         self.faults = Faults()
         self.accepted = 0
-        self.silencings = 0
+        self.silencings = {Direction.TO_TARGET: 0, Direction.FROM_TARGET: 0}
         self._rng = random.Random(seed)
         self._server: asyncio.Server | None = None
         self._changed = asyncio.Event()
@@ -133,12 +133,13 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def silence(self) -> None:
+    def silence(self, silenced: Direction = Direction.BOTH) -> None:
         """Forward nothing on the open connections any more, not even their end.
 
         New connections work.
         """
-        self.silencings += 1
+        for direction in self.silencings:
+            self.silencings[direction] += bool(direction & silenced)
 
     def cut(self) -> None:
         """Reset all open connections."""
--- a/cicadawheel/control/server.py
+++ b/cicadawheel/control/server.py
@@ -218,6 +218,7 @@
         current = self.is_current()
         for session in self.sessions:
             session.send_heartbeat(current)
+            session.abort_if_silent(now_ms)
 
     def _check_leases(self, now_ms: float) -> None:
         alive = tuple(
--- a/cicadawheel/control/session.py
+++ b/cicadawheel/control/session.py
@@ -42,7 +42,7 @@
 from cicadawheel.control.sender import confirm_sender_waits
 from cicadawheel.control.state import ControlState
 from cicadawheel.control.state.membership import MembersDelta
-from cicadawheel.errors import CicadawheelError, PeerError
+from cicadawheel.errors import CicadawheelError, ConnectionLostError, PeerError
 from cicadawheel.ids import Fingerprint, LogIndex
 from cicadawheel.logs import log_event
 from cicadawheel.timer import Clock
@@ -51,6 +51,8 @@
 log = logging.getLogger(__name__)
 
 QUARANTINE_MS = 600_000
+SILENCE_LIMIT_MS = 2_000.0
+"""Nodes renew their lease every second."""
 
 
 class SessionOwner(Protocol):
@@ -109,6 +111,7 @@
     def stream_opened(self, stream: Stream) -> None:
         """Register the session, and send a first heartbeat."""
         self._stream = stream
+        self.heard_at_ms = self.server.clock.now_ms()
         self.server.session_opened(self)
         stream.send(Heartbeat(self.server.is_current()))
 
@@ -131,6 +134,16 @@
         """Close the stream."""
         self._stream.close()
 
+    def abort_if_silent(self, now_ms: float) -> None:
+        """Abort the stream if it brings nothing, so that the node opens another one.
+
+        The node may have left it, or hear this replica and not be heard itself.
+        """
+        silent_ms = now_ms - self.heard_at_ms
+        if silent_ms > SILENCE_LIMIT_MS:
+            peer = self._stream.peer
+            self._stream.abort(ConnectionLostError("node is silent", peer=peer))
+
     def send_heartbeat(self, current: bool) -> None:
         """Send a heartbeat, and the replicas' hosts if they have changed."""
         if not self._stream.is_open():
