A gate closes the stream that a node has replaced

Callers saw: nothing yet. Each time that streams went silent, the gate of a node kept the earlier stream beside the new one: its calls ran on at the upstream though the entry had ended them as lost, each load report was sent to it too, and it counted as one more reader in the pace of the reports.

Cause: the gate ended an accepted stream when its end arrived only. On a silent one none does, until TCP gives up after minutes.

Excluded: that the gate can judge every accepted stream by what it brings.

Change: when a node opens a stream, its earlier ones to this gate are closed if they bring nothing in the second that follows. An entry uses one stream to a gate, so that the calls on the others are lost to it already. A node that never comes back is left to TCP.

--- a/cicadawheel/gate/server.py
+++ b/cicadawheel/gate/server.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from cicadawheel.control.messages import View
-from cicadawheel.errors import PeerError
+from cicadawheel.errors import ConnectionLostError, PeerError
 from cicadawheel.gate.call import CallState, GateCall
 from cicadawheel.gate.gate import Gate
 from cicadawheel.ids import StreamId
@@ -30,6 +30,7 @@
     ViewRequest,
 )
 from cicadawheel.settings import Address
+from cicadawheel.timer import MS_PER_S
 from cicadawheel.wire.message import Message
 from cicadawheel.wire.stream import Identity, Stream, serve_streams
 
@@ -40,6 +41,8 @@
 )
 GetView = Callable[[], View]
 
+REPLACED_SILENCE_LIMIT_MS = 1_000.0
+
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
 
 
@@ -51,7 +54,19 @@
         self._finishing = False
 
     def add(self, stream: Stream) -> None:
-        """Add an open stream; it ends at once if the others were finished."""
+        """Add an open stream; it ends at once if the others were finished.
+
+        A node uses one stream to this gate at a time. Its earlier ones are closed if
+        they bring nothing more, as their end may not arrive.
+        """
+        for earlier in self.open:
+            if earlier.peer == stream.peer:
+                asyncio.get_running_loop().call_later(
+                    REPLACED_SILENCE_LIMIT_MS / MS_PER_S,
+                    _abort_if_silent,
+                    earlier,
+                    earlier.received_bytes,
+                )
         self.open.add(stream)
         if self._finishing:
             stream.finish()
@@ -115,7 +130,13 @@
         calls, self._calls = self._calls, {}
         for call in calls.values():
             call.receive(Cancel(call.stream, "peer lost"))
-        log_event(log, "peer_disconnected", peer=stream.peer, calls=len(calls))
+        log_event(
+            log,
+            "peer_disconnected",
+            peer=stream.peer,
+            calls=len(calls),
+            reason=error,
+        )
 
     def _receive(self, stream: Stream, message: CallMessage) -> None:
         call = self._calls[message.stream]
@@ -157,6 +178,12 @@
             self._calls[call.stream] = gate_call
 
 
+def _abort_if_silent(stream: Stream, received_bytes: int) -> None:
+    """Abort a stream that has brought nothing beyond ``received_bytes``."""
+    if stream.received_bytes == received_bytes:
+        stream.abort(ConnectionLostError("node uses another stream", peer=stream.peer))
+
+
 def _send(stream: Stream, message: Message) -> None:
     """Send a message, unless the stream has closed or is being finished."""
     if stream.is_open():
--- a/test/test_silent_links.py
+++ b/test/test_silent_links.py
@@ -41,40 +41,51 @@
 
 
 class LinkedEntry:
-    """The links of one entry, through a proxy, to a gate that all members share."""
+    """The links of one entry, each through a proxy, to addresses of one gate."""
 
     def __init__(self):
         self.timers = make_timer_service()
         self.gate = Gate(GateSettings(), "dc", self.timers, "n1", PLATFORM_DIALECT)
-        self.streams = PeerStreams()
+        self.streams = []
+        self.servers = []
+        self.proxies = []
+        self.members = []
         self.loads = Loads()
         self.links = PeerLinks(identity("n0"), CONNECT_TIMEOUT_MS, self.loads)
 
     async def start(self, count):
-        view = View(5, Configuration(1), (), ())
-        self.server = await serve_peers(
-            Address("127.0.0.1", 0),
-            identity("n1"),
-            self.gate,
-            lambda: view,
-            self.streams,
-        )
-        target = Address(*self.server.sockets[0].getsockname())
-        self.proxy = await start_proxy(target)
-        host, port = self.proxy.address.host, self.proxy.address.port
-        self.members = [
-            Member(f"n{i}", f"u{i}", "s", "v1", "d0", host, port, 4, 10)
-            for i in range(1, count + 1)
-        ]
+        for number in range(1, count + 1):
+            await self.add_member(f"n{number}")
         self.links.set_wanted({member.node for member in self.members})
         self.links.connect(self.members)
         await until(lambda: len(self.loads.counts) == count)
         self.timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
 
+    async def add_member(self, node):
+        view = View(5, Configuration(1), (), ())
+        address, streams = Address("127.0.0.1", 0), PeerStreams()
+        server = await serve_peers(
+            address, identity(node), self.gate, lambda: view, streams
+        )
+        proxy = await start_proxy(Address(*server.sockets[0].getsockname()))
+        host, port = proxy.address.host, proxy.address.port
+        self.members.append(
+            Member(node, f"u-{node}", "s", "v1", "d0", host, port, 4, 10)
+        )
+        self.streams.append(streams)
+        self.servers.append(server)
+        self.proxies.append(proxy)
+
+    def silence(self):
+        for proxy in self.proxies:
+            proxy.silence()
+
     async def close(self):
         self.links.close()
-        self.server.close()
-        await self.proxy.close()
+        for server in self.servers:
+            server.close()
+        for proxy in self.proxies:
+            await proxy.close()
         self.gate.close()
 
 
@@ -92,7 +103,7 @@
 def test_idle_links_that_went_silent_are_replaced_before_the_next_call(count):
     async def work():
         async with linked_entry(count) as entry:
-            entry.proxy.silence()
+            entry.silence()
             entry.loads.counts.clear()
             async with asyncio.timeout(CONTACT_WINDOW_S):
                 while len(entry.loads.counts) < count:
