Don't queue load reports for a node that doesn't read

Callers saw: nothing yet; a gate's memory grew with each report to a node whose stream was silent or that didn't read.

Cause: load reports were queued whatever was unsent.

Excluded: that the pace of the reports bounds it. It bounds their rate, and a silent stream stays until TCP gives up.

Change: no report is queued for a stream with more than 64 KiB unsent. Replies and views are queued as before; the next report after the backlog tells the load.

test_left_streams.py failed before: 1.5 MB were unsent after 100,000 reports to a stream that isn't read, 7.0 MB after 100,000 more. Now it doesn't grow.

--- a/cicadawheel/gate/server.py
+++ b/cicadawheel/gate/server.py
@@ -42,6 +42,7 @@
 GetView = Callable[[], View]
 
 REPLACED_SILENCE_LIMIT_MS = 1_000.0
+UNSENT_LOADS_LIMIT_BYTES = 65_536
 
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
 
@@ -155,7 +156,9 @@
         _send(stream, refused)
 
     def _push_load(self, load: LoadReport) -> None:
-        _send(self._stream, ProbeReply(StreamId(0), load))
+        """Send a load report, unless the peer doesn't read."""
+        if self._stream.unsent_bytes() <= UNSENT_LOADS_LIMIT_BYTES:
+            _send(self._stream, ProbeReply(StreamId(0), load))
 
     def _send_view(self, stream: Stream, request: ViewRequest) -> None:
         view = self.get_view()
