Set the limits of idle streams between two checks

Callers saw: nothing yet. test_silent_links.py with 60 links failed in 1 of 13 runs, at a load of about 18: not all links were new 3 s after the silence (whole test 3.3 s).

Cause: the limits were multiples of the interval of the checks, 250 ms. A check that came a little early found each not yet exceeded, and the next one is 250 ms later: three times in a row that is 750 ms.

Change: 400 ms, 400 ms and 900 ms, which end between two checks.

--- a/cicadawheel/entry/peers.py
+++ b/cicadawheel/entry/peers.py
@@ -38,11 +38,11 @@
 CHECK_INTERVAL_MS = 250.0
 SILENCE_LIMIT_MS = 2_000.0
 # The end of an idle stream costs a reconnection only.
-IDLE_SILENCE_LIMIT_MS = 1_000.0
-IDLE_PROBE_INTERVAL_MS = 500.0
+IDLE_SILENCE_LIMIT_MS = 900.0
+IDLE_PROBE_INTERVAL_MS = 400.0
 IDLE_PROBES_PER_CHECK = 4
 # When two streams bring nothing for this long, all idle ones are probed.
-SUSPECT_AFTER_MS = 500.0
+SUSPECT_AFTER_MS = 400.0
 SWEEP_INTERVAL_MS = 2_000.0
 # After a power failure members leave and rejoin in bursts; idle streams are kept
 # long enough to outlast those.
