Open an aborted stream between nodes again, with calls too

Callers saw: nothing yet.

Cause: nothing opened it.

Change: a stream that is aborted for silence is opened again, once, whether it is idle or not.

The call ends as 'may have run', as before.

--- a/cicadawheel/entry/peers.py
+++ b/cicadawheel/entry/peers.py
@@ -172,7 +172,7 @@
     def check(self, now_ms: float) -> None:
         """Abort the stream if an answer is awaited and the node is unresponsive.
 
-        An idle stream that was aborted is opened again.
+        A stream that was aborted is opened again.
         """
         stream = self._stream
         if stream is None:
@@ -187,7 +187,7 @@
         self._checked_at_ms = now_ms
         limit_ms = SILENCE_LIMIT_MS if self._sinks else IDLE_SILENCE_LIMIT_MS
         if self.quiet_ms(now_ms) > limit_ms:
-            self._reopens = not self._sinks
+            self._reopens = True
             stream.abort(ConnectionLostError("node is silent", peer=self.member.node))
         elif self._sinks and not heard:
             self.send(Probe(StreamId(0)))
--- a/test/test_silent_links.py
+++ b/test/test_silent_links.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 from lone_gate import make_call
-from site_in_loop import call, until
+from site_in_loop import POLL_S, call, until
 
 from bench.faultproxy import start_proxy
 from cicadawheel.configuration import Configuration, Member
@@ -107,17 +107,33 @@
             entry.loads.counts.clear()
             async with asyncio.timeout(CONTACT_WINDOW_S):
                 while len(entry.loads.counts) < count:
-                    await asyncio.sleep(0.01)
+                    await asyncio.sleep(POLL_S)
             answers = []
             entry.links.link(entry.members[-1]).open(make_call("r"), answers.append)
             async with asyncio.timeout(peers.CHECK_INTERVAL_MS / 1_000.0):
                 while not answers:
-                    await asyncio.sleep(0.01)
+                    await asyncio.sleep(POLL_S)
             assert answers[0].reason is not RefusalReason.PEER_LOST
 
     asyncio.run(work())
 
 
+def test_load_of_a_node_arrives_after_its_link_went_silent_with_a_call_in_progress():
+    async def work():
+        async with linked_entry(1) as entry:
+            entry.silence()
+            link, answers = entry.links.link(entry.members[0]), []
+            link.open(make_call("r"), answers.append)
+            entry.loads.counts.clear()
+            async with asyncio.timeout(CONTACT_WINDOW_S):
+                while not entry.loads.counts:
+                    await asyncio.sleep(POLL_S)
+            assert answers[0].reason is RefusalReason.PEER_LOST
+            assert not answers[0].not_run
+
+    asyncio.run(work())
+
+
 def test_probes_of_idle_links_are_bounded():
     async def work():
         async with linked_entry(MANY_LINKS) as entry:
@@ -154,7 +170,7 @@
         proxy.silence()
         async with asyncio.timeout(CONTACT_WINDOW_S):
             while proxy.accepted == accepted:
-                await asyncio.sleep(0.01)
+                await asyncio.sleep(POLL_S)
         async with asyncio.timeout(1.0):
             answer = await call(entry, "POST", "/book", idempotency_key="k")
         assert answer.status == 200
