Use new connections when an upstream's health check goes silent

Callers saw: after the connections to an upstream had gone silent, the next request on each kept one got no answer; each idle connection costs one request in this way, until its deadline.

Cause: a kept connection is used until its end arrives. The health check found its own connection silent within 500 ms and replaced it, and said nothing of it.

Excluded: that requests in progress can be saved. Whether they ran is not known; they end at their deadline as before. Requests sent in the about 1 s before the health check's time is up are lost like these.

Change: when a health check gets no answer on a connection that has brought reports, the idle connections are closed. One that never brought any says nothing of the others, so that an upstream whose health check hangs doesn't lose its kept connections each time. Event upstream_silent. It holds where the limit is told; other gates make a new connection for each report, and learn nothing of the kept ones.

--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -99,7 +99,9 @@
         self._failures = FailureShare()
         self._health: HealthReader | None = None
         if settings.limit == REPORTED_LIMIT:
-            self._health = HealthReader(dialect, self._health_received)
+            self._health = HealthReader(
+                dialect, self._health_received, self._connections_doubted
+            )
         self.pool = UpstreamPool(settings.connect_timeout_ms)
         self.guard = CrashGuard(
             node, self.pool, self.clock, self._upstream_died, self._refuse_waiting
@@ -400,6 +402,11 @@
             log_event(log, "gate_closed", reason=reason)
             self._apply_decisions(self.admission.close(reason))
 
+    def _connections_doubted(self) -> None:
+        """Use new connections, as the kept ones may have gone silent too."""
+        log_event(log, "upstream_silent", upstream=self.announcement.upstream)
+        self.pool.close_idle_connections()
+
     def _report_doubted(self, cause: str) -> None:
         log_event(log, "upstream_doubted", reason=cause)
         self.admission.restart_warm_up(cause, self.clock.now_ms())
--- a/cicadawheel/gate/health.py
+++ b/cicadawheel/gate/health.py
@@ -70,11 +70,20 @@
         The header fields of the responses.
     on_report : callable
         Called with each report.
+    on_silence : callable, optional
+        Called when a connection that has brought reports brings no more.
     """
 
-    def __init__(self, dialect: Dialect, on_report: Callable[[HealthReport], None]):
+    def __init__(
+        self,
+        dialect: Dialect,
+        on_report: Callable[[HealthReport], None],
+        on_silence: Callable[[], None] = lambda: None,
+    ):
         self.dialect = dialect
         self.on_report = on_report
+        self.on_silence = on_silence
+        self._has_reported = False
         self._address: Address | None = None
         self._path = ""
         self._connection: UpstreamConnection | None = None
@@ -89,6 +98,8 @@
             self._address = address
         if self._polled_at_ms is not None:
             if now_ms - self._polled_at_ms > ANSWER_TIMEOUT_MS:
+                if self._has_reported:
+                    self.on_silence()
                 self.close()
             return
         self._path = path
@@ -109,6 +120,7 @@
             self._connection.cancel()
             self._connection = None
         self._polled_at_ms = None
+        self._has_reported = False
 
     def may_use(self, connection: UpstreamConnection) -> bool:
         """Return True, as no other request uses this connection."""
@@ -134,11 +146,13 @@
     def body_ended(self) -> None:
         """Allow the next request."""
         self._polled_at_ms = None
+        self._has_reported = True
 
     def exchange_failed(self, end: ExchangeEnd) -> None:
         """Drop the connection, so that the next request opens a new one."""
         self._connection = None
         self._polled_at_ms = None
+        self._has_reported = False
 
     def upstream_writable(self) -> None:
         """Do nothing: health requests have no body."""
@@ -158,6 +172,7 @@
         finally:
             self._connecting = None
         self._connection = connection
+        self._has_reported = False
         self._send(connection)
 
     def _send(self, connection: UpstreamConnection) -> None:
