A closed stream takes no more messages

Callers saw: nothing yet. A stream that was closed with unsent bytes counted as open until its peer had taken them, and each further message was queued after them, so that it could stay open for good; control took a node behind a closed stream as still waiting.

Cause: is_open() knew of the end of the connection and of finish(), not of close().

Change: close() ends the sending, as finish() does. abort() is as before.

test_silent_close.py failed before (is_open() was true after close(), with 20 MB unsent to a peer that doesn't read), and passes now, as do the tests of streams, links, sessions, replicas' connections and planned stops (10 files).

--- a/cicadawheel/wire/stream.py
+++ b/cicadawheel/wire/stream.py
@@ -132,6 +132,7 @@
         """Flush queued messages and close the stream."""
         self._flush()
         if self._transport is not None:
+            self._finishing = True
             self._transport.close()
 
     def finish(self) -> None:
