A closed stream ends though its last bytes are not taken

Callers saw: nothing yet. A stream that was closed while its connection carried nothing stayed, with what was unsent, until TCP gave up; calls on a link that was replaced for a new address ended as lost only then.

Cause: close() waited for the peer to take the last bytes, however long.

Excluded: that the end of the process hides it; links and replicas' streams are closed in use too.

Change: a closing stream whose peer has taken nothing for 2 s is aborted. A slow reader that takes some bytes in each 2 s gets all.

test_silent_close.py failed before (open 3 s after close(), 20 MB unsent); it passes now, as do the tests of streams, links, sessions, replicas' connections and planned stops.

--- a/cicadawheel/wire/stream.py
+++ b/cicadawheel/wire/stream.py
@@ -31,6 +31,7 @@
 """The fastest level; higher levels save little more on these messages."""
 HANDSHAKE_TIMEOUT_S = 5.0
 HANDSHAKE_FRAME_LIMIT_BYTES = 1_024
+CLOSE_STALL_LIMIT_S = 2.0
 
 _encoder = msgspec.msgpack.Encoder()
 _handshake_decoder = msgspec.msgpack.Decoder(Hello | Proof)
@@ -100,6 +101,7 @@
         self._write_queue: list[bytes] = []
         self._flush_scheduled = False
         self._finishing = False
+        self._closing = False
         self._transport: asyncio.Transport | None = None
         self._error: PeerError | None = None
         self._handshake_timer: asyncio.TimerHandle | None = None
@@ -129,11 +131,15 @@
         return waiting
 
     def close(self) -> None:
-        """Flush queued messages and close the stream."""
+        """Flush queued messages and close the stream.
+
+        It ends sooner if its peer takes none of them for `CLOSE_STALL_LIMIT_S`.
+        """
         self._flush()
-        if self._transport is not None:
-            self._finishing = True
+        if self._transport is not None and not self._closing:
+            self._finishing = self._closing = True
             self._transport.close()
+            self._check_close(-1)
 
     def finish(self) -> None:
         """Flush queued messages and send the end of the stream.
@@ -151,6 +157,18 @@
             # The peer has reset the connection, which isn't read yet.
             self.abort(ConnectionLostError(str(error), step="send", peer=self.peer))
 
+    def _check_close(self, unsent_before_bytes: int) -> None:
+        unsent_bytes = self.unsent_bytes()
+        if unsent_bytes == unsent_before_bytes:
+            self.abort(
+                ConnectionLostError(
+                    "peer doesn't take the last messages", step="send", peer=self.peer
+                )
+            )
+        elif unsent_bytes:
+            loop = asyncio.get_running_loop()
+            loop.call_later(CLOSE_STALL_LIMIT_S, self._check_close, unsent_bytes)
+
     def abort(self, error: PeerError) -> None:
         """Abort the stream immediately with an error."""
         self._error = self._error or error
--- a/test/test_silent_close.py
+++ b/test/test_silent_close.py
@@ -9,6 +9,7 @@
 from cicadawheel.ids import StreamId
 from cicadawheel.messages import Body, Probe
 
+CONTACT_WINDOW_S = 3.0
 CHUNK = bytes(100_000)
 CHUNKS = 200
 
@@ -21,6 +22,19 @@
     assert stream.unsent_bytes()
 
 
+def test_closed_stream_ends_though_its_last_bytes_are_not_taken():
+    async def run():
+        server, stream, accepted, connected = await open_pair()
+        accepted.stream._transport.pause_reading()
+        await fill(stream)
+        stream.close()
+        async with asyncio.timeout(CONTACT_WINDOW_S):
+            await connected.closed.get()
+        server.close()
+
+    asyncio.run(run())
+
+
 def test_closed_stream_takes_no_more_messages():
     async def run():
         server, stream, accepted, _ = await open_pair()
