Let TCP end a stream whose peer takes nothing for 15 s

Callers saw: nothing yet. A gate kept the stream of a node that never came back, with the load reports for it unsent, until TCP gave up.

Cause: streams left the end to TCP's defaults, many minutes.

Excluded: keep-alive probes alone. They are sent on a connection without unsent data only: in a trial, one that isn't read and has keep-alive probes after 1 s was open after 8 s. And the same for callers and upstreams: TCP_USER_TIMEOUT ends a connection whose receiver doesn't read as well (trial: 2 s set, ended after 2.5 s), which would cut slow callers.

Change: TCP_USER_TIMEOUT of 15 s and keep-alive probes after 5 s, on streams only, which both ends always read. It is a second line: limits of our own are shorter, and a proxy answers for a far end that is gone.

test_silent_close.py, with a limit of 500 ms: failed before (open 3 s later), passes now. Not run: a connection without unsent data whose far end is gone, as loopback can't lose it.

--- a/cicadawheel/wire/stream.py
+++ b/cicadawheel/wire/stream.py
@@ -32,6 +32,14 @@
 HANDSHAKE_TIMEOUT_S = 5.0
 HANDSHAKE_FRAME_LIMIT_BYTES = 1_024
 CLOSE_STALL_LIMIT_S = 2.0
+UNTAKEN_LIMIT_MS = 15_000
+"""How long the peer may take nothing. Streams are always read, unlike bodies."""
+KEEP_ALIVE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _handshake_decoder = msgspec.msgpack.Decoder(Hello | Proof)
@@ -181,6 +189,9 @@
         self.peer = str(transport.get_extra_info("peername"))
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNTAKEN_LIMIT_MS)
+        for option in KEEP_ALIVE_OPTIONS:
+            sock.setsockopt(*option)
         loop = asyncio.get_running_loop()
         self._handshake_timer = loop.call_later(
             HANDSHAKE_TIMEOUT_S, self._on_handshake_timeout
--- a/test/test_silent_close.py
+++ b/test/test_silent_close.py
@@ -8,6 +8,7 @@
 from cicadawheel.errors import ConnectionLostError
 from cicadawheel.ids import StreamId
 from cicadawheel.messages import Body, Probe
+from cicadawheel.wire import stream as stream_module
 
 CONTACT_WINDOW_S = 3.0
 CHUNK = bytes(100_000)
@@ -48,3 +49,17 @@
         server.close()
 
     asyncio.run(run())
+
+
+def test_stream_whose_peer_takes_nothing_for_long_ends(monkeypatch):
+    monkeypatch.setattr(stream_module, "UNTAKEN_LIMIT_MS", 500, raising=False)
+
+    async def run():
+        server, stream, accepted, connected = await open_pair()
+        accepted.stream._transport.pause_reading()
+        await fill(stream)
+        async with asyncio.timeout(CONTACT_WINDOW_S):
+            await connected.closed.get()
+        server.close()
+
+    asyncio.run(run())
