Test: wait for a leader at all replicas, not at one whose task has ended

Cause: in the test. Deployment.elect waited for changes of the first replica. That may be the one whose disk is full: its task has ended, so it notices no further change. Without load, the next leader is there before elect waits. A second fault: a leader that was lost between the change and the return gave None, and an AttributeError.

Change: elect waits for changes of all replicas, for 20 s as before, and returns a leader.

--- a/test/replicas.py
+++ b/test/replicas.py
@@ -158,10 +158,28 @@
         return None
 
     async def elect(self, excluding=()):
-        """Wait for a leader, and return its replica."""
-        replica = next(iter(self.running.values()))
-        await replica.until(lambda: self.leader(excluding) is not None)
-        return self.leader(excluding)
+        """Wait for a leader, and return its replica.
+
+        Waits at all replicas, as one whose task has ended doesn't notice a leader.
+        """
+        async with asyncio.timeout(20):
+            while (leader := self.leader(excluding)) is None:
+                await self._wait_for_leader(excluding)
+        return leader
+
+    async def _wait_for_leader(self, excluding):
+        def has_leader():
+            return self.leader(excluding) is not None
+
+        waits = [
+            asyncio.ensure_future(replica.log.wait_until(has_leader))
+            for replica in self.running.values()
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
 
     async def propose(self, *texts):
         leader = await self.elect()
--- a/test/test_full_disks.py
+++ b/test/test_full_disks.py
@@ -1,11 +1,12 @@
 """Disks of replicas that are full for a while, one after the other."""
 
 import asyncio
+import contextlib
 import errno
 import random
 
 import pytest
-from replicas import Deployment, DiskFiles
+from replicas import LOST_LEADER, Deployment, DiskFiles, command
 
 from cicadawheel.control import daemon as control_daemon
 from cicadawheel.errors import StorageError, StorageFullError
@@ -71,6 +72,31 @@
     asyncio.run(body())
 
 
+def test_leader_is_found_while_the_task_of_the_first_replica_has_ended(tmp_path):
+    # The test above waited at an ended replica, which never sees the next leader.
+    async def body():
+        FullFiles.full = set()
+        deployment = Deployment(tmp_path, "a", "b", "c")
+        deployment.start("a", "b", "c", files=FullFiles)
+        await deployment.propose("first")
+        FullFiles.full = {"a"}
+        with contextlib.suppress(*LOST_LEADER):
+            await deployment.running["b"].log.propose(command("second"))
+        with pytest.raises(StorageFullError):
+            await deployment.running["a"].task
+        for name in ("b", "c"):
+            await deployment.stop(name)
+            deployment.start(name, files=FullFiles)
+        assert list(deployment.running) == ["a", "b", "c"]
+        assert deployment.leader() is None
+        assert (await deployment.elect()).log.replica in ("b", "c")
+        FullFiles.full = set()
+        del deployment.running["a"]
+        await deployment.close()
+
+    asyncio.run(body())
+
+
 async def propose_elsewhere(deployment, names, texts):
     """Propose commands until the replicas with room hold them all."""
     for text in texts:
