Votes that take longer than the election timeout still elect

Cause: a candidate whose votes are still being written stood for pre-votes again after its timeout, and then dropped the votes of the term that it was in.

Change: pre-votes and votes are counted apart. A vote of the current term counts until it is decided, also while pre-votes are asked for. One that arrives after a restart doesn't, as the replica may have led in that term and lost entries.

--- a/cicadawheel/control/raft/core.py
+++ b/cicadawheel/control/raft/core.py
@@ -119,8 +119,9 @@
 
     def votes(self) -> set[ReplicaId]:
         """Return the voters that granted this replica's election or pre-vote."""
-        is_candidate = self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE)
-        return self._election.votes() if is_candidate else set()
+        if self.role not in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            return set()
+        return self._election.votes(self.role is Role.PRE_CANDIDATE)
 
     def write_age_ms(self, now_ms: float) -> float:
         """Return how long the current write has taken, 0 if there is none."""
@@ -233,7 +234,7 @@
             self._election.record_vote(now_ms)
         durable = self._durability.hard_state.term == self.term
         if self.role is Role.CANDIDATE and durable:
-            self._count_vote(self.replica, now_ms)
+            self._count_vote(self.replica, False, now_ms)
         elif self.leadership is not None:
             self._advance(now_ms)
         elif self.leader is not None:
@@ -317,13 +318,13 @@
         request = self._election.make_request(Term(self.term + 1), True)
         for voter in self._other_voters():
             self._durability.send(voter, request)
-        self._count_vote(self.replica, now_ms)
+        self._count_vote(self.replica, True, now_ms)
 
     def _begin_vote(self, now_ms: float) -> None:
         self.role = Role.CANDIDATE
         self.hard_state = HardState(Term(self.term + 1), self.replica)
         self._follower.reset()
-        self._election.begin_vote(now_ms)
+        self._election.begin_vote(self.term, now_ms)
         request = self._election.make_request(self.term, False)
         for voter in self._other_voters():
             self._durability.send_after_write(voter, request)
@@ -331,12 +332,12 @@
     def _other_voters(self) -> list[ReplicaId]:
         return [one for one in self.membership.voters() if one != self.replica]
 
-    def _count_vote(self, voter: ReplicaId, now_ms: float) -> None:
-        if not self._election.add_vote(voter):
+    def _count_vote(self, voter: ReplicaId, pre: bool, now_ms: float) -> None:
+        if not self._election.add_vote(voter, pre):
             return
-        if self.role is Role.PRE_CANDIDATE:
+        if pre:
             self._begin_vote(now_ms)
-        elif self.role is Role.CANDIDATE:
+        else:
             self._become_leader(now_ms)
 
     def _become_leader(self, now_ms: float) -> None:
@@ -382,10 +383,14 @@
     def _receive_vote_reply(
         self, peer: ReplicaId, reply: VoteReply, now_ms: float
     ) -> None:
-        role = Role.PRE_CANDIDATE if reply.pre else Role.CANDIDATE
-        term = self.term + 1 if reply.pre else self.term
-        if reply.granted and self.role is role and reply.term == term:
-            self._count_vote(peer, now_ms)
+        if reply.pre:
+            expected = self.role is Role.PRE_CANDIDATE and reply.term == self.term + 1
+        else:
+            stands = self.role in (Role.CANDIDATE, Role.PRE_CANDIDATE)
+            undecided = stands and self._election.is_undecided(self.term)
+            expected = undecided and reply.term == self.term
+        if reply.granted and expected:
+            self._count_vote(peer, reply.pre, now_ms)
 
     def _receive_progress(
         self, peer: ReplicaId, reply: AppendReply | SnapshotReply, now_ms: float
--- a/cicadawheel/control/raft/election.py
+++ b/cicadawheel/control/raft/election.py
@@ -57,7 +57,9 @@
         self.log = log
         self.timeout_ms = timeout_ms
         self.random = random
+        self._pre_votes: set[ReplicaId] = set()
         self._votes: set[ReplicaId] = set()
+        self._undecided_term: Term | None = None
         self._leader_heard_ms = float("-inf")
         self._voted_ms = float("-inf")
         self._consecutive_elections = 0
@@ -88,6 +90,7 @@
     def record_win(self) -> None:
         """Reset the count of elections after winning one."""
         self._consecutive_elections = 0
+        self._undecided_term = None
 
     def record_vote(self, now_ms: float) -> None:
         """Restart the timeout after a durable vote: the candidate needs time to win."""
@@ -100,24 +103,34 @@
 
     def begin_pre_vote(self, now_ms: float) -> None:
         """Start a round of pre-votes, retried after part of a timeout."""
-        self._votes.clear()
+        self._pre_votes.clear()
         share = self.random.uniform(*PRE_VOTE_RETRY_SHARES)
         self._due_ms = now_ms + share * self.timeout_ms
 
-    def begin_vote(self, now_ms: float) -> None:
+    def begin_vote(self, term: Term, now_ms: float) -> None:
         """Start counting votes for a new election."""
         self._votes.clear()
+        self._undecided_term = term
         self._consecutive_elections += 1
         self.restart_timeout(now_ms)
 
-    def votes(self) -> set[ReplicaId]:
-        """Return the voters that granted the current election or pre-vote."""
-        return set(self._votes)
+    def is_undecided(self, term: Term) -> bool:
+        """Return whether this replica, since its start, stood in a term and didn't win.
+
+        A vote for it that took longer than the election timeout then still counts. One
+        from before a restart doesn't: it may have led in that term.
+        """
+        return self._undecided_term == term
+
+    def votes(self, pre: bool) -> set[ReplicaId]:
+        """Return the voters that granted the last election or pre-vote."""
+        return set(self._pre_votes if pre else self._votes)
 
-    def add_vote(self, voter: ReplicaId) -> bool:
-        """Record a vote and return whether this replica has a majority."""
-        self._votes.add(voter)
-        return self.log.membership.has_quorum(self._votes)
+    def add_vote(self, voter: ReplicaId, pre: bool) -> bool:
+        """Record a vote or pre-vote and return whether a majority granted it."""
+        votes = self._pre_votes if pre else self._votes
+        votes.add(voter)
+        return self.log.membership.has_quorum(votes)
 
     def make_request(self, term: Term, pre: bool) -> VoteRequest:
         """Return a vote request for a term."""
--- a/test/test_raft_faults.py
+++ b/test/test_raft_faults.py
@@ -120,3 +120,22 @@
     cluster.write_ms = (0.5 * timeout_ms, 2.0 * timeout_ms)
     cluster.pass_time(20 * timeout_ms)
     assert cluster.leaders()
+
+
+@pytest.mark.parametrize("seed", range(1, 21))
+def test_leader_is_replaced_while_each_write_takes_several_election_timeouts(seed):
+    """Guards against elections that are given up before slow votes arrive.
+
+    Users allow 15 s for recovery, which is 37.5 timeouts of 400 ms.
+    """
+    cluster = RaftCluster(*"abcde", seed=seed)
+    leader = cluster.elect()
+    timeout_ms = cluster.options.election_timeout_ms
+    cluster.write_ms = (2.0 * timeout_ms, 3.75 * timeout_ms)
+    cluster.partitioned = {leader}
+    for _ in range(int(37.5 * timeout_ms / 5)):
+        cluster.pass_time(5)
+        followers = [name for name in cluster.leaders() if name != leader]
+        if any(cluster.rafts[name].leadership.is_ready() for name in followers):
+            return
+    raise AssertionError("no leader was elected")
