Let a learner vote before it replaces a silent voter

Callers saw: no leader for good after two lost disks, with four of six replicas up with good disks.

Cause: a voter that was silent for 5 s was removed before the learner with another address was promoted. It may be cut off with a good disk. Of the four that vote in between, two lost disks leave two, and the disk of the removed one counts no more.

Change: the learner is promoted first, and a lost voter is removed while there are more voters than wanted. Each is a change of one replica. Of the six that vote in between, any two lost disks leave four, a majority.

--- a/cicadawheel/control/raft/leadership.py
+++ b/cicadawheel/control/raft/leadership.py
@@ -25,9 +25,9 @@
 class RaftOptions(msgspec.Struct, frozen=True):
     """Protocol timeouts, and the wanted number of voters.
 
-    When there are ``voter_target`` voters and a learner is waiting, a voter that has
-    not been heard from for ``lost_ms`` is removed so that the learner can take its
-    place. With a target of 0 every learner is promoted.
+    When there are ``voter_target`` voters and a learner is waiting, the learner takes
+    the place of a voter that has not been heard from for ``lost_ms``. With a target of
+    0 every learner is promoted.
     """
 
     election_timeout_ms: float
--- a/cicadawheel/control/raft/voters.py
+++ b/cicadawheel/control/raft/voters.py
@@ -34,18 +34,21 @@
     is_lost : callable
         Whether a voter has been silent for long enough to be replaced by a learner.
     """
+    voters = membership.voters()
+    lost = next(filter(is_lost, voters), None)
     for learner in filter(is_caught_up, membership.joining()):
         if not voter_target:
             return membership.with_voter(learner)
         replaced = _member_at_same_address(membership, learner)
         if replaced is not None:
             return membership.replacing(replaced.replica, learner)
-        voters = membership.voters()
-        if len(voters) < voter_target:
+        # The learner votes before the lost voter is removed, so that there are never
+        # fewer voters than wanted: a voter that is only cut off counts meanwhile.
+        wanted = voter_target if lost is None else voter_target + 1
+        if len(voters) < wanted:
             return membership.with_voter(learner)
-        lost = next(filter(is_lost, voters), None)
-        if lost is not None:
-            return membership.without(lost)
+    if voter_target and len(voters) > voter_target and lost is not None:
+        return membership.without(lost)
     return None
 
 
