Remove a learner whose address another replica has taken

A replica that joined, and lost its disk again before it voted, stayed a learner for good beside the one that came after it at the same address.

Cause: a learner is only replaced by one that joins after it while it is the first member at its address; the voter that both replace comes first, and nothing removes it later.

Evidence: test_learner_whose_address_another_has_taken_is_removed: no further change was chosen before. Inferred, not measured: each replica goes on dialling its id (wrong_replica, ten times a second), the repair state stays "learning", and the next disk lost at this address needs two changes. It leaves no majority out by itself.

Change: it is removed once nothing else is to be done. A learner has no vote, so that this changes no majority. Members are in the order in which they were added, and one is added only when it has answered at its address, so the later one is there.

--- a/cicadawheel/control/raft/voters.py
+++ b/cicadawheel/control/raft/voters.py
@@ -49,7 +49,8 @@
             return membership.with_voter(learner)
     if voter_target and len(voters) > voter_target and lost is not None:
         return membership.without(lost)
-    return None
+    stale = _learner_without_address(membership) if voter_target else None
+    return None if stale is None else membership.without(stale)
 
 
 def _member_at_same_address(
@@ -62,3 +63,18 @@
         if same_address and member.replica != learner:
             return member
     return None
+
+
+def _learner_without_address(membership: Membership) -> ReplicaId | None:
+    """Return a learner whose address a later member has taken, or None.
+
+    Members are in the order in which they were added, and the leader adds a replica
+    only after it has met it at its address.
+    """
+    taken = set()
+    for member in reversed(membership.members):
+        address = (member.host, member.port)
+        if address in taken and not member.voter:
+            return member.replica
+        taken.add(address)
+    return None
--- a/test/test_voters.py
+++ b/test/test_voters.py
@@ -86,6 +86,17 @@
     assert next_membership(membership, 5, always, never) is None
 
 
+def test_learner_whose_address_another_has_taken_is_removed():
+    membership = make_membership(HOSTS, ["h2-a", "h2-b"])
+    caught_up = {"h2-b"}.__contains__
+    after = next_membership(membership, 5, caught_up, never)
+    assert sorted(after.voters()) == ["h1", "h2-b", "h3", "h4", "h5"]
+    then = next_membership(after, 5, caught_up, never)
+    assert then.voters() == after.voters()
+    assert (then.learners(), then.removed) == ([], ("h2", "h2-a"))
+    assert next_membership(then, 5, caught_up, never) is None
+
+
 def test_lost_voter_is_kept_without_waiting_learner():
     assert next_membership(make_membership(HOSTS), 5, always, always) is None
 
