--- a/test/raft_shuttle.py
+++ b/test/raft_shuttle.py
@@ -31,6 +31,8 @@
         self.partitioned = set()
         self.loss_share = 0.0
         self.slow_disks = set()
+        self.held_up = set()
+        """Replicas whose event loop doesn't run; messages to them wait."""
         self.write_ms = (0.0, 0.0)
         self.durations_ms = {}
         self.write_ends_ms = {}
@@ -51,9 +53,21 @@
     def stop(self, name):
         del self.rafts[name]
 
+    def release(self, name):
+        """Let a replica's event loop run again: it first reads what has arrived."""
+        self.held_up.discard(name)
+        for _ in range(len(self.queue)):
+            sender, to, message = self.queue.popleft()
+            if to == name:
+                self.rafts[to].receive(sender, message, self.now_ms)
+            else:
+                self.queue.append((sender, to, message))
+
     def step(self):
         """Run one step of each replica, and deliver the messages that are queued."""
         for name, raft in list(self.rafts.items()):
+            if name in self.held_up:
+                continue
             self._write(name, raft)
             for outbound in raft.take_messages(self.now_ms):
                 self.queue.append((name, outbound.to, outbound.message))
@@ -63,6 +77,9 @@
             sender, to, message = self.queue.popleft()
             if to not in self.rafts or {(sender, to), sender, to} & self.partitioned:
                 continue
+            if to in self.held_up:
+                self.queue.append((sender, to, message))
+                continue
             if self.random.random() >= self.loss_share:
                 self.rafts[to].receive(sender, message, self.now_ms)
 
@@ -74,8 +91,9 @@
         """Advance the time in steps of 5 ms."""
         for _ in range(int(ms / 5)):
             self.now_ms += 5
-            for raft in list(self.rafts.values()):
-                raft.tick(self.now_ms)
+            for name, raft in list(self.rafts.items()):
+                if name not in self.held_up:
+                    raft.tick(self.now_ms)
             self.step()
 
     def elect(self):
