--- a/test/core_faults.py
+++ b/test/core_faults.py
@@ -1,7 +1,7 @@
 """Plays of a simulated core: drawn faults, then calm, and bounds on its recovery.
 
-``python test/core_faults.py SEED COUNT`` plays that many seeds; with ``--trace`` it also
-prints the replicas' log lines.
+``python test/core_faults.py SEED COUNT`` plays that many seeds; with ``--trace`` it
+also prints the replicas' log lines.
 """
 
 import asyncio
