Refuse a replica that was removed only once that is committed

A replica that waits for the first agreement refused itself when another one's newest membership had removed it, committed or not, and stays refused until its process ends. If that entry is lost with its leader, it is a voter that takes no part for good. Since introductions are repeated, each of them may fall into that moment.

No run of real processes shows it: the entry is uncommitted for a few milliseconds.

Change: an uncommitted removal neither refuses the replica nor lets it form. A membership that lists it with another folder refuses it as before, also in such an introduction (test_removal_that_may_be_undone_does_not_hide_another_folder). A removal by a peer that doesn't repeat its introductions is known only when a stream opens, as before.

--- a/cicadawheel/control/replica/bootstrap.py
+++ b/cicadawheel/control/replica/bootstrap.py
@@ -70,6 +70,9 @@
     ) -> None:
         """Process the introduction of another replica.
 
+        A removal of this replica counts once it is committed, as a refused replica
+        stays refused.
+
         ``displaced`` are the replicas whose disks are lost, as another one has their
         address.
         """
@@ -79,6 +82,8 @@
             self.state = BootstrapState.REFUSED
         if self.state is not BootstrapState.WAITING:
             return
+        if self._is_removed_in(introduction):
+            return
         if introduction.membership.members:
             if introduction.bootstrap.find(self.replica) is None:
                 self.state = BootstrapState.JOINING
@@ -103,7 +108,7 @@
 
     def _rejection_reason(self, peer: ReplicaId, introduction: Introduction) -> str:
         remedy = "start with an empty folder under a new id and add that"
-        if self.replica in introduction.membership.removed:
+        if introduction.settled and self._is_removed_in(introduction):
             return f"replica {peer} knows that this id was removed; {remedy}"
         for membership in (introduction.membership, introduction.bootstrap):
             member = membership.find(self.replica)
@@ -111,6 +116,9 @@
                 return f"replica {peer} knows this id with another folder; {remedy}"
         return ""
 
+    def _is_removed_in(self, introduction: Introduction) -> bool:
+        return self.replica in introduction.membership.removed
+
     def _try_form(self) -> None:
         if self.state is not BootstrapState.WAITING:
             return
--- a/test/test_bootstrap.py
+++ b/test/test_bootstrap.py
@@ -55,6 +55,23 @@
     assert waiting.state is BootstrapState.REFUSED
 
 
+def test_removal_that_may_be_undone_does_not_refuse_this_replica(waiting):
+    removed = Membership(AGREED.members[:2], ("c",))
+    for settled, state in (
+        (False, BootstrapState.WAITING),
+        (True, BootstrapState.REFUSED),
+    ):
+        waiting.receive("a", Introduction("fa", NAMES, AGREED, removed, settled))
+        assert waiting.state is state
+
+
+def test_removal_that_may_be_undone_does_not_hide_another_folder(waiting):
+    agreed = agreement(a="fa", b="fb", c="lost")
+    removed = Membership(agreed.members[:2], ("c",))
+    waiting.receive("a", Introduction("fa", NAMES, agreed, removed))
+    assert waiting.state is BootstrapState.REFUSED
+
+
 def test_replica_without_a_missing_one_forms(waiting):
     for name in "ab":
         waiting.receive(name, introduction(name))
