Guard: a disk lost twice before the replica votes leaves no learner

Five replicas with real files and streams: a replica whose disk is lost joins, answers nothing, and loses its disk again. The next one gets the vote, and the one between is removed. No change of logic.

--- a/test/test_assembly.py
+++ b/test/test_assembly.py
@@ -264,6 +264,28 @@
     run_on_vms(work)
 
 
+def test_vm_that_loses_its_disk_again_before_it_votes_leaves_no_learner(run_on_vms):
+    async def work(vms):
+        vms.start(*HOSTS[:5])
+        await vms.until_voters(*HOSTS[:5])
+        host = next(host for host in HOSTS[:5] if host != vms.host_of_leader())
+        await vms.stop(host)
+        vms.lose_disk(host)
+        vms.start(host, may_form=False)
+        fresh = vms.running[host].log
+        fresh._runner.send = lambda peer, message: False
+        leader = vms.leader()
+        await leader.until(lambda: fresh.replica in leader.log.status().learners)
+        await vms.stop(host)
+        vms.lose_disk(host)
+        vms.start(host, may_form=False)
+        await vms.until_votes(host)
+        await leader.until(lambda: not leader.log.status().learners)
+        assert fresh.replica in leader.log.status().removed
+
+    run_on_vms(work)
+
+
 def test_member_that_asks_to_join_stays_what_it_is(run_on_vms):
     async def work(vms):
         vms.start(*HOSTS[:5])
