Close a connection whose handshake ends after its replica has ended

Cause: a replica that ends closes its opened streams, but not a connection whose handshake is under way. If that succeeds later, it opens on the ended replica and stays for as long as the process runs, as after a full disk. The others send into it.

Excluded: that it lasts for good on. An ended replica doesn't repeat its introduction, so that the others close the connection after 1.5 s (by reading; no run). The control process ends its event loop after a full disk, which may close the connection sooner; not measured.

Change: a stream that opens after the end is closed at once.

--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -130,6 +130,7 @@
         self._streams: dict[Stream, _Liveness] = {}
         self._closed: dict[Stream, asyncio.Event] = {}
         self._group: asyncio.TaskGroup | None = None
+        self._ended = False
 
     async def run(self, ready: Callable[[], None]) -> None:
         """Listen and connect until cancelled; ``ready`` is called once listening.
@@ -139,6 +140,7 @@
         ConnectionLostError
             The address can't be listened on.
         """
+        self._ended = False
         server = await self._serve()
         try:
             async with asyncio.TaskGroup() as group:
@@ -147,6 +149,7 @@
                 self._update_dials()
                 await self._keep_alive()
         finally:
+            self._ended = True
             self._group = None
             self._dials.clear()
             self._seed_dials.clear()
@@ -219,6 +222,10 @@
     def stream_opened(self, stream: Stream) -> None:
         """Send the introduction of this replica."""
         self._streams[stream] = _Liveness(stream)
+        if self._ended:
+            # Accepted before this replica ended, which closed all opened streams.
+            stream.close()
+            return
         self._send_on(stream, self.owner.introduce())
 
     def message_received(self, stream: Stream, message: Message) -> None:
