--- a/test/test_replication_network.py
+++ b/test/test_replication_network.py
@@ -156,3 +156,22 @@
         await asyncio.gather(running, return_exceptions=True)
 
     run_pair(body)
+
+
+@pytest.mark.timeout(20)
+def test_several_silent_streams_to_one_replica_do_not_block_the_event_loop(run_pair):
+    async def body(a, b, clock):
+        twin = Network(Address("127.0.0.1", free_port()), a.identity, Owner(), b.clock)
+        running = asyncio.ensure_future(twin.run(lambda: None))
+        twin.set_targets({"b": b.listen})
+        await b.owner.introductions.get()
+        streams = [stream for stream in b._streams if stream.peer == "a"]
+        assert len(streams) == 2
+        for stream in streams:
+            b._send_on(stream, Report(b"1"))
+        clock.at_ms += SILENCE_LIMIT_MS + 1
+        assert not b.send("a", Report(b"2"))
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    run_pair(body)
