A late answer to an earlier run of a process doesn't acknowledge a new request

A command was acknowledged that was never committed: two texts that were acknowledged are absent at two replicas after a confirmed read.

Cause: a replica numbers the requests that it forwards from 1 in each run.

Excluded: a fault of the simulation (both sides were logged), and a stale read.

Change: the first number is drawn at random for each run. Numbers are opaque to the leader, so that replicas of two versions understand each other.

--- a/cicadawheel/control/replica/requests.py
+++ b/cicadawheel/control/replica/requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import secrets
 
 from cicadawheel.control.replica.message import Answer, AnswerState
 from cicadawheel.errors import (
@@ -12,6 +13,8 @@
 )
 from cicadawheel.ids import ReplicaId
 
+FIRST_NUMBER_BITS = 48
+
 _STATE_OF_ERROR = {
     NotLeaderError: AnswerState.NOT_LEADER,
     NoQuorumError: AnswerState.NO_QUORUM,
@@ -24,7 +27,8 @@
     """The forwarded requests of this replica that have no reply yet."""
 
     def __init__(self):
-        self._numbers = itertools.count(1)
+        # A late reply to an earlier run of this process must not match a new request.
+        self._numbers = itertools.count(secrets.randbits(FIRST_NUMBER_BITS))
         self._futures: dict[int, asyncio.Future[Answer]] = {}
 
     def open(self) -> tuple[int, asyncio.Future[Answer]]:
