A replica that joins is dialled while other members change

Two machines lost their disks within some 100 ms, and two more when these had had the time to catch up (4 s).

Cause: the leader adds a joining replica's address to those that it connects to, and waits up to 5 s for the connection. Each change of the members sets these addresses anew, which dropped it. Nothing was dialled any more, the wait lasted 5 s, and the replicas that had passed the request on ignored further ones meanwhile. So of two replicas that join at the same time one voted only 5 s later, and until then two lost disks too many were missing.

Excluded: the refusal alone, which is repeated within 200 ms.

Change: addresses of replicas that are being added are kept apart until they are members or were refused.

--- a/cicadawheel/control/replica/network.py
+++ b/cicadawheel/control/replica/network.py
@@ -119,6 +119,7 @@
         self.clock = clock
         self.folders: dict[ReplicaId, FolderId] = {}
         self._targets: dict[ReplicaId, Address] = {}
+        self._joining: dict[ReplicaId, Address] = {}
         self._seed_dials: dict[Address, asyncio.Task[None]] = {}
         self._dials: dict[tuple[ReplicaId, Address], asyncio.Task[None]] = {}
         self._outgoing: dict[ReplicaId, Stream] = {}
@@ -158,8 +159,13 @@
                 stream.close()
 
     def set_targets(self, targets: dict[ReplicaId, Address]) -> None:
-        """Set the replicas to connect to, and disconnect from all others."""
+        """Set the replicas to connect to.
+
+        Disconnects from all others, but for those of `add_target` that aren't included.
+        """
         self._targets = dict(targets)
+        for replica in set(self._joining) & set(targets):
+            del self._joining[replica]
         self._update_dials()
 
     def set_seed_addresses(self, addresses: set[Address]) -> None:
@@ -177,13 +183,14 @@
         return [peer for peer in self.folders if self._stream_to(peer) is not None]
 
     def add_target(self, replica: ReplicaId, address: Address) -> None:
-        """Add a replica to connect to."""
-        self._targets[replica] = address
+        """Add a replica to connect to, until it is set or dropped as a target."""
+        self._joining[replica] = address
         self._update_dials()
 
     def drop_target(self, replica: ReplicaId) -> None:
         """Disconnect from a replica."""
         self._targets.pop(replica, None)
+        self._joining.pop(replica, None)
         self._update_dials()
 
     def is_connected(self, replica: ReplicaId) -> bool:
@@ -345,7 +352,7 @@
     def _update_dials(self) -> None:
         if self._group is None:
             return
-        targets = set(self._targets.items())
+        targets = {*self._targets.items(), *self._joining.items()}
         for target in set(self._dials) - targets:
             self._dials.pop(target).cancel()
         for target in targets - set(self._dials):
--- a/test/test_core_recovery.py
+++ b/test/test_core_recovery.py
@@ -3,7 +3,7 @@
 import pytest
 from core_faults import play_seed
 
-SEEDS = (1, 2, 3, 6, 25)
+SEEDS = (1, 2, 3, 6, 25, 39)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/test/test_replication_network.py
+++ b/test/test_replication_network.py
@@ -158,6 +158,27 @@
     run_pair(body)
 
 
+def test_replica_that_joins_is_dialled_while_other_targets_change(run_pair):
+    async def body(a, b, clock):
+        c = Network(
+            Address("127.0.0.1", free_port()),
+            Identity("c", "boot", b"k"),
+            Owner(),
+            clock,
+        )
+        a.add_target("c", c.listen)
+        a.set_targets({"b": b.listen})
+        running = asyncio.ensure_future(c.run(lambda: None))
+        async with asyncio.timeout(5.0):
+            assert await a.owner.introductions.get() == "c"
+        a.drop_target("c")
+        assert ("c", c.listen) not in a._dials
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    run_pair(body)
+
+
 @pytest.mark.timeout(20)
 def test_several_silent_streams_to_one_replica_do_not_block_the_event_loop(run_pair):
     async def body(a, b, clock):
