A read that was lost with its connection is sent to the leader again

Callers saw: reads at a replica that knows a leader fail after 2 s.

Nothing sends the read again; it waits for its timeout of 2 s, and the replica confirms no read within 3 s.

Excluded: that no leader is known (one for 1.2 s), and that the new connection fails (the others' reads are confirmed within 10 ms).

Commands aren't sent again.

--- a/cicadawheel/control/replica/leader_requests.py
+++ b/cicadawheel/control/replica/leader_requests.py
@@ -47,7 +47,8 @@
     timers : TimerService
         The time source.
     grace_ms : float
-        How long to wait for replies of a former leader.
+        How long to wait for replies of a former leader, and before an unanswered read
+        is sent again.
     """
 
     def __init__(self, runner: ReplicaRunner, timers: TimerService, grace_ms: float):
@@ -150,9 +151,17 @@
     async def _forward(self, request: Request, leader: ReplicaId) -> Answer:
         number, answer = self._forwarded.open()
         try:
-            if not self._runner.send(leader, ForwardedRequest(number, request)):
-                raise NotLeaderError("leader is unreachable", step="ask", peer=leader)
-            return await answer
+            while not answer.done():
+                if not self._runner.send(leader, ForwardedRequest(number, request)):
+                    raise NotLeaderError(
+                        "leader is unreachable", step="ask", peer=leader
+                    )
+                if not isinstance(request, ConfirmRead):
+                    return await answer
+                # The connection may have been lost with the request or its reply. A
+                # read has no effect, so it can be sent again.
+                await asyncio.wait({answer}, timeout=self._grace_ms / MS_PER_S)
+            return answer.result()
         finally:
             self._forwarded.close(number)
 
