A late vote doesn't elect a second leader of its term

Found by a review of: a replica that had followed the winner of its term still counted late votes of that term once it asked for pre-votes again, and by the membership of that moment.

Change: a vote of a term counts until a leader of it is heard.

--- a/cicadawheel/control/raft/election.py
+++ b/cicadawheel/control/raft/election.py
@@ -84,6 +84,7 @@
     def leader_heard(self, now_ms: float) -> None:
         """Restart the timeout after a message from the leader."""
         self._consecutive_elections = 0
+        self._undecided_term = None
         self._leader_heard_ms = now_ms
         self.restart_timeout(now_ms)
 
@@ -115,10 +116,11 @@
         self.restart_timeout(now_ms)
 
     def is_undecided(self, term: Term) -> bool:
-        """Return whether this replica, since its start, stood in a term and didn't win.
+        """Return whether a vote for this replica in a term may still count.
 
-        A vote for it that took longer than the election timeout then still counts. One
-        from before a restart doesn't: it may have led in that term.
+        It stood in that term since its start, and no leader of it is known. A vote may
+        take longer than the election timeout. One from before a restart doesn't count:
+        the replica may have led in that term.
         """
         return self._undecided_term == term
 
--- a/test/test_raft.py
+++ b/test/test_raft.py
@@ -300,3 +300,26 @@
     trio.pass_time(400)
     assert trio.applied[leader] == [b"state", b"after"]
     assert trio.saved[leader].entries == trio.saved[second].entries
+
+
+def test_late_vote_elects_no_second_leader_of_a_term():
+    cluster = RaftCluster(*"abcde")
+    cluster.pass_time(0)
+    first, second = cluster.rafts["a"], cluster.rafts["b"]
+    for raft in (first, second):
+        raft._begin_vote(cluster.now_ms)
+    late = VoteReply(first.term, True, False)
+    cluster.partitioned = {("a", "c"), ("a", "d"), ("b", "e"), ("e", "a")}
+    cluster.settle()
+    assert cluster.leaders() == ["b"]
+    for removed in "cd":
+        cluster.pass_time(20)
+        members = second.membership.without(removed)
+        second.change_membership(members, cluster.now_ms)
+        cluster.settle()
+    cluster.partitioned = {("a", "b"), ("b", "a")}
+    while first.role is not Role.PRE_CANDIDATE:
+        cluster.now_ms += 5
+        first.tick(cluster.now_ms)
+    first.receive("e", late, cluster.now_ms)
+    assert first.leadership is None
