--- a/cicadawheel/control/raft/voters.py
+++ b/cicadawheel/control/raft/voters.py
@@ -35,18 +35,22 @@
         Whether a voter has been silent for long enough to be replaced by a learner.
     """
     voters = membership.voters()
-    lost = next(filter(is_lost, voters), None)
+    silent = list(filter(is_lost, voters))
+    lost = silent[0] if silent else None
     for learner in filter(is_caught_up, membership.joining()):
         if not voter_target:
             return membership.with_voter(learner)
         replaced = _member_at_same_address(membership, learner)
         if replaced is not None:
             return membership.replacing(replaced.replica, learner)
-        # The learner votes before the lost voter is removed, so that there are never
-        # fewer voters than wanted: a voter that is only cut off counts meanwhile.
-        wanted = voter_target if lost is None else voter_target + 1
-        if len(voters) < wanted:
+        if len(voters) < voter_target:
             return membership.with_voter(learner)
+        if len(voters) == voter_target and lost is not None:
+            # A voter that is only cut off counts until the learner has its place,
+            # unless a majority would need the learner meanwhile.
+            if 2 * (len(voters) - len(silent)) > len(voters) + 1:
+                return membership.with_voter(learner)
+            return membership.without(lost)
     if voter_target and len(voters) > voter_target and lost is not None:
         return membership.without(lost)
     stale = _learner_without_address(membership) if voter_target else None
--- a/test/test_voters.py
+++ b/test/test_voters.py
@@ -314,3 +314,33 @@
         if site.leader() is not None:
             return
     raise AssertionError("no leader")
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_three_good_disks_have_a_leader_when_a_new_voter_dies(seed):
+    site = Site(seed)
+    site.write_ms = (0.0, 15.0)
+    leader = site.elect()
+    site.names["h6"] = "h6"
+    site.saved["h6"] = SavedState()
+    site.start("h6")
+    site.run_for(500)
+    for host in [host for host in HOSTS if host != leader][:2]:
+        site.stop(host)
+        del site.names[host]
+    while not site.rafts[site.leader() or leader].membership.is_voter("h6"):
+        site.pass_time(5)
+    site.pass_time(5 * site.random.randrange(6))
+    site.stop("h6")
+    del site.names["h6"]
+    site.run_for(3_000)
+    assert site.leader() is not None
+
+
+def test_lost_voter_is_removed_first_if_a_majority_would_need_the_learner():
+    lost = {"h2", "h3"}.__contains__
+    membership = make_membership(HOSTS, ["h6", "h7"])
+    after = next_membership(membership, 5, always, lost)
+    assert after.voters() == ["h1", "h3", "h4", "h5"]
+    then = next_membership(after, 5, always, lost)
+    assert then.voters() == ["h1", "h3", "h4", "h5", "h6"]
