--- a/cicadawheel/entry/peers.py
+++ b/cicadawheel/entry/peers.py
@@ -39,6 +39,9 @@
 SILENCE_LIMIT_MS = 2_000.0
 # The end of an idle stream costs a reconnection only.
 IDLE_SILENCE_LIMIT_MS = 900.0
+# The limit doubles up to this while answers are late, so that slow nodes aren't
+# connected to again and again.
+IDLE_SILENCE_LIMIT_MAX_MS = 8_000.0
 IDLE_PROBE_INTERVAL_MS = 400.0
 IDLE_PROBES_PER_CHECK = 4
 # When two streams bring nothing for this long, all idle ones are probed.
@@ -114,9 +117,9 @@
         self.listener = listener
         self.sent_bytes = 0
         self._received_bytes = 0
-        self._checked_at_ms = 0.0
         self._heard_at_ms = 0.0
         self._awaiting_since_ms: float | None = None
+        self._idle_limit_ms = IDLE_SILENCE_LIMIT_MS
         self._reopens = False
         self._stream: Stream | None = None
         self._connecting: asyncio.Task | None = None
@@ -179,14 +182,18 @@
             return
         heard = stream.received_bytes != self._received_bytes
         if heard:
+            if 0.0 < self.quiet_ms(now_ms) <= IDLE_SILENCE_LIMIT_MS:
+                self._idle_limit_ms = IDLE_SILENCE_LIMIT_MS
             self._received_bytes = stream.received_bytes
             self._heard_at_ms = now_ms
             self._awaiting_since_ms = None
         elif self._sinks and self._awaiting_since_ms is None:
-            self._awaiting_since_ms = self._checked_at_ms
-        self._checked_at_ms = now_ms
-        limit_ms = SILENCE_LIMIT_MS if self._sinks else IDLE_SILENCE_LIMIT_MS
+            self._awaiting_since_ms = now_ms
+        limit_ms = SILENCE_LIMIT_MS if self._sinks else self._idle_limit_ms
         if self.quiet_ms(now_ms) > limit_ms:
+            if not self._sinks:
+                doubled_ms = 2 * self._idle_limit_ms
+                self._idle_limit_ms = min(doubled_ms, IDLE_SILENCE_LIMIT_MAX_MS)
             self._reopens = True
             stream.abort(ConnectionLostError("node is silent", peer=self.member.node))
         elif self._sinks and not heard:
--- a/test/test_silent_links.py
+++ b/test/test_silent_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -12,7 +13,7 @@
 from cicadawheel.configuration import Configuration, Member
 from cicadawheel.control.messages import View
 from cicadawheel.entry import peers
-from cicadawheel.entry.peers import PeerLinks
+from cicadawheel.entry.peers import SILENCE_LIMIT_MS, PeerLink, PeerLinks
 from cicadawheel.gate.gate import Gate
 from cicadawheel.gate.server import PeerStreams, serve_peers
 from cicadawheel.messages import RefusalReason
@@ -177,3 +178,52 @@
         await proxy.close()
 
     on_site(work)
+
+
+class FakeStream:
+    """An open stream whose peer answers when the test says so."""
+
+    received_bytes = 0
+    aborted = False
+
+    def is_open(self):
+        return True
+
+    def send(self, message):
+        pass
+
+    def abort(self, error):
+        self.aborted = True
+
+
+@pytest.fixture
+def fake_link():
+    """A link on a fake stream, at rest at a time of 1 s."""
+    member = SimpleNamespace(node="n1", host="h", port=1)
+    link = PeerLink(member, identity("n0"), CONNECT_TIMEOUT_MS, Loads())
+    link._stream = FakeStream()
+    link.check(1_000.0)
+    return link
+
+
+def test_entry_that_was_frozen_keeps_a_stream_that_it_has_not_probed(fake_link):
+    fake_link._sinks[1] = lambda message: None
+    fake_link.check(1_000.0 + 2 * SILENCE_LIMIT_MS)
+    assert not fake_link._stream.aborted
+
+
+def test_idle_streams_to_a_slow_node_are_replaced_once(fake_link):
+    late_ms = 1_200.0
+    replaced = 0
+    for now_ms in range(2_000, 22_000, 250):
+        stream = fake_link._stream
+        fake_link.check(float(now_ms))
+        if stream.aborted:
+            replaced += 1
+            fake_link._stream = FakeStream()
+            fake_link._awaiting_since_ms = None
+        elif fake_link.quiet_ms(now_ms) >= late_ms:
+            stream.received_bytes += 1
+        elif fake_link.probe_due_ms() <= now_ms:
+            fake_link.probe_idle(float(now_ms))
+    assert replaced == 1
