Count the refused votes since there is no leader by a Counter

The difference of two counters was written out, with untyped dictionaries. The line is the same; test_leaderless.py and test_core_recovery.py pass.

--- a/cicadawheel/control/replica/leaderless.py
+++ b/cicadawheel/control/replica/leaderless.py
@@ -6,11 +6,13 @@
 """
 
 import logging
+from collections import Counter
 from typing import Protocol
 
 import msgspec
 
 from cicadawheel.control.raft.core import Raft
+from cicadawheel.control.raft.election import VoteRefusal
 from cicadawheel.control.replica.network import Connectivity, Network
 from cicadawheel.control.replica.runner import ReplicaRunner
 from cicadawheel.ids import ReplicaId, Term
@@ -94,7 +96,7 @@
         self._unlogged_ms = 0.0
         self._known_ms = 0.0
         self._late_ms = 0.0
-        self._refused_before: dict = {}
+        self._refused_before: Counter[VoteRefusal] = Counter()
         self._dropped_before = 0
         self._ignored_before = 0
         timers.every(CHECK_INTERVAL_MS, self._check)
@@ -125,7 +127,8 @@
         self._unlogged_ms = 0.0
         self._late_ms = 0.0
         engine = self._runner.engine
-        self._refused_before = {} if engine is None else dict(engine.raft.vote_refusals)
+        refused = Counter() if engine is None else engine.raft.vote_refusals
+        self._refused_before = refused.copy()
         self._dropped_before = self._runner.network.dropped_messages
         self._ignored_before = self._runner.ignored_messages
 
@@ -147,7 +150,7 @@
 
 
 def describe_leaderless(
-    runner: ReplicaRunner, refused_before: dict, now_ms: float
+    runner: ReplicaRunner, refused_before: Counter[VoteRefusal], now_ms: float
 ) -> LeaderlessState:
     """Return what a replica knows of the reasons why it has no leader."""
     standing = _describe_standing(runner)
@@ -156,11 +159,7 @@
     raft = runner.engine.raft
     voters = raft.membership.voters()
     needed = len(voters) // 2 + 1
-    refused = {
-        reason.value: count - refused_before.get(reason, 0)
-        for reason, count in raft.vote_refusals.items()
-        if count > refused_before.get(reason, 0)
-    }
+    refused = raft.vote_refusals - refused_before
     return LeaderlessState(
         role=_describe_role(raft),
         standing=standing,
@@ -171,7 +170,9 @@
             for voter in voters
         ),
         votes=f"{len(raft.votes())}/{needed}",
-        refused=",".join(f"{reason}:{count}" for reason, count in refused.items()),
+        refused=",".join(
+            f"{reason.value}:{count}" for reason, count in refused.items()
+        ),
         write_ms=round(raft.write_age_ms(now_ms)),
     )
 
