Health checks use the idle kept connections to an upstream in turn

What callers saw: each kept connection that had gone silent cost one request until its deadline, as only the health check's own connection was ever judged.

Cause: the health of one connection was inferred from another's. A check now goes to the connection that has been idle for longest, the own one only if none is kept; one without an answer in 500 ms closes all idle ones, as before. A late response to a health check has no request id, so that on a connection that has carried one an answer must name its request.

Weighed: a check before each use (a round trip for each call), closing connections that were idle for a while (handshakes), sending again (not allowed where a request may run once).

--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -221,8 +221,11 @@
             self.sink(Credit(self.call.stream, room_bytes))
 
     def matches_request(self, response: ResponseHead) -> bool:
-        """Return False for a response with the id of another request."""
-        return not is_of_another(response, self.call.request, self.gate.dialect)
+        """Return False for a response to another request or to a health check."""
+        dialect = self.gate.dialect
+        if self._connection.carried_health_check and dialect.echoes_request_id:
+            return names_request(response, self.call.request, dialect)
+        return not is_of_another(response, self.call.request, dialect)
 
     def may_use(self, connection: UpstreamConnection) -> bool:
         """Return whether a connection can be used.
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -97,12 +97,12 @@
         self.admission = make_admission(settings)
         self.publisher = LoadPublisher(timers, lambda: self.load())
         self._failures = FailureShare()
+        self.pool = UpstreamPool(settings.connect_timeout_ms)
         self._health: HealthReader | None = None
         if settings.limit == REPORTED_LIMIT:
             self._health = HealthReader(
-                dialect, self._health_received, self._connections_doubted
+                dialect, self._health_received, self._connections_doubted, self.pool
             )
-        self.pool = UpstreamPool(settings.connect_timeout_ms)
         self.guard = CrashGuard(
             node, self.pool, self.clock, self._upstream_died, self._refuse_waiting
         )
--- a/cicadawheel/gate/health.py
+++ b/cicadawheel/gate/health.py
@@ -1,4 +1,8 @@
-"""Polls the health endpoint of an upstream on a dedicated connection."""
+"""Polls the health endpoint of an upstream on its idle connections in turn.
+
+A connection may go silent for good while others work. Calls would find that out at the
+expense of their callers, so each kept connection is checked while it is idle.
+"""
 
 import asyncio
 import logging
@@ -9,7 +13,7 @@
 from cicadawheel.announcement import COLD_LIMIT_MS, UpstreamLoad
 from cicadawheel.http.dialect import Dialect
 from cicadawheel.http.fields import ResponseHead, find_field
-from cicadawheel.http.upstream import ExchangeEnd, UpstreamConnection
+from cicadawheel.http.upstream import ExchangeEnd, UpstreamConnection, UpstreamPool
 from cicadawheel.ids import UpstreamId
 from cicadawheel.settings import Address
 from cicadawheel.timer import MS_PER_S
@@ -71,7 +75,9 @@
     on_report : callable
         Called with each report.
     on_silence : callable, optional
-        Called when a connection that has brought reports brings no more.
+        Called when a connection that has brought responses brings no more.
+    pool : UpstreamPool, optional
+        The connections for calls, which are checked while they are idle.
     """
 
     def __init__(
@@ -79,14 +85,17 @@
         dialect: Dialect,
         on_report: Callable[[HealthReport], None],
         on_silence: Callable[[], None] = lambda: None,
+        pool: UpstreamPool | None = None,
     ):
         self.dialect = dialect
         self.on_report = on_report
         self.on_silence = on_silence
-        self._has_reported = False
+        self.pool = pool
+        self._was_in_use = False
         self._address: Address | None = None
         self._path = ""
-        self._connection: UpstreamConnection | None = None
+        self._own: UpstreamConnection | None = None
+        self._polled: UpstreamConnection | None = None
         self._connecting: asyncio.Task | None = None
         self._polled_at_ms: float | None = None
         self._body_bytes = 0
@@ -98,29 +107,54 @@
             self._address = address
         if self._polled_at_ms is not None:
             if now_ms - self._polled_at_ms > ANSWER_TIMEOUT_MS:
-                if self._has_reported:
+                if self._was_in_use:
                     self.on_silence()
-                self.close()
+                self._cancel_poll()
             return
         self._path = path
         self._polled_at_ms = now_ms
-        connection = self._connection
-        if connection is not None and connection.is_reusable():
+        connection = self._longest_idle()
+        if connection is not None:
+            self._was_in_use = True
             self._send(connection)
         else:
-            self._connection = None
             self._connecting = asyncio.ensure_future(self._connect(address))
 
+    def _longest_idle(self) -> UpstreamConnection | None:
+        """Return the connection that has been idle for longest, None without one."""
+        if self._own is not None and not self._own.is_reusable():
+            self._own = None
+        kept = None if self.pool is None else self.pool.longest_idle()
+        if kept is None:
+            return self._own
+        if self._own is not None and self._own.idle_since_s <= kept.idle_since_s:
+            return self._own
+        self.pool.take(kept)
+        return kept
+
     def close(self) -> None:
-        """Close the connection and drop the request in flight."""
+        """Close the own connection and drop the request in flight."""
+        self._cancel_poll()
+        if self._own is not None:
+            self._own.cancel()
+            self._own = None
+
+    def _cancel_poll(self) -> None:
+        """Drop the request in flight with its connection."""
         if self._connecting is not None:
             self._connecting.cancel()
             self._connecting = None
-        if self._connection is not None:
-            self._connection.cancel()
-            self._connection = None
+        polled = self._polled
+        self._end_poll()
+        if polled is not None:
+            if polled is self._own:
+                self._own = None
+            polled.cancel()
+
+    def _end_poll(self) -> None:
+        self._polled = None
         self._polled_at_ms = None
-        self._has_reported = False
+        self._was_in_use = False
 
     def may_use(self, connection: UpstreamConnection) -> bool:
         """Return True, as no other request uses this connection."""
@@ -141,18 +175,17 @@
         """Discard the body; close the connection if it exceeds the limit."""
         self._body_bytes += len(data)
         if self._body_bytes > BODY_LIMIT_BYTES:
-            self.close()
+            self._cancel_poll()
 
     def body_ended(self) -> None:
         """Allow the next request."""
-        self._polled_at_ms = None
-        self._has_reported = True
+        self._end_poll()
 
     def exchange_failed(self, end: ExchangeEnd) -> None:
-        """Drop the connection, so that the next request opens a new one."""
-        self._connection = None
-        self._polled_at_ms = None
-        self._has_reported = False
+        """Drop the connection, so that the next request uses another one."""
+        if self._polled is self._own:
+            self._own = None
+        self._end_poll()
 
     def upstream_writable(self) -> None:
         """Do nothing: health requests have no body."""
@@ -171,12 +204,13 @@
             return
         finally:
             self._connecting = None
-        self._connection = connection
-        self._has_reported = False
+        self._own = connection
         self._send(connection)
 
     def _send(self, connection: UpstreamConnection) -> None:
+        self._polled = connection
         connection.owner = self
+        connection.carried_health_check = True
         self._body_bytes = 0
         fields = [(b"host", str(self._address).encode())]
         connection.send_request("GET", self._path, fields, b"", more=False)
--- a/cicadawheel/http/upstream.py
+++ b/cicadawheel/http/upstream.py
@@ -102,6 +102,7 @@
         self.writable = True
         self.wrote_request = False
         self.refused_requests: set[RequestId] = set()
+        self.carried_health_check = False
         self._released = released
         self._http = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
@@ -425,6 +426,19 @@
         self._closing = True
         self.close_idle_connections()
 
+    def longest_idle(self) -> UpstreamConnection | None:
+        """Return the connection that has been idle for longest, None without one."""
+        while self._idle:
+            connection = self._idle[0]
+            if connection.is_reusable():
+                return connection
+            self._idle.remove(connection)
+        return None
+
+    def take(self, connection: UpstreamConnection) -> None:
+        """Remove an idle connection for use; it returns when it is released."""
+        self._idle.remove(connection)
+
     def connect(self, owner: ExchangeOwner) -> asyncio.Task | None:
         """Assign a connection to the owner, reusing an idle one if possible.
 
@@ -433,7 +447,7 @@
         """
         for connection in reversed(self._idle):
             if connection.is_reusable() and owner.may_use(connection):
-                self._idle.remove(connection)
+                self.take(connection)
                 connection.owner = owner
                 connection.wrote_request = False
                 owner.connected(connection)
