Routes of the type download may be repeated

Cause: config.put of a document with such a route was answered 400, so that a deployment with large answers served nothing.

test_platform_formats.py fails on the code before.

--- a/cicadawheel/platform/document.py
+++ b/cicadawheel/platform/document.py
@@ -27,6 +27,7 @@
 
 REPEAT_RULE_BY_ROUTE_TYPE = {
     "idempotent": RepeatRule.REPEATABLE,
+    "download": RepeatRule.REPEATABLE,
     "non_idempotent": RepeatRule.ONCE,
     "upload": RepeatRule.ONCE,
 }
@@ -56,7 +57,7 @@
     """
 
     path_prefix: str
-    route_type: Literal["idempotent", "non_idempotent", "upload"]
+    route_type: Literal["idempotent", "non_idempotent", "upload", "download"]
     timeout_s: Seconds
     target_latency_s: Seconds
     max_attempts: SafeInteger
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -74,6 +74,13 @@
     assert list(rules.data_centres) == ["north"]
 
 
+@pytest.mark.parametrize("kind", ["idempotent", "download"])
+def test_requests_that_may_repeat_are_decoded(kind):
+    document = decode_document(make_document({**PATH, "route_type": kind}), HABITS)
+    (route,) = document.routes
+    assert route.repeat is RepeatRule.REPEATABLE
+
+
 def test_weighted_route_is_decoded():
     shares = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
     path = {**PATH, "weighted_clusters": shares}
