Streams carry the cost spent for a nested call, refusals of an upstream and link use

Cause: parts that are built side by side need fields of the messages between nodes, which are positional. CallOpen.spent_ms, LoadReport.shed_share and link_use are added together, so that the protocol's version rises once (9). Nothing sets or reads them yet; no measurement.

--- a/cicadawheel/messages.py
+++ b/cicadawheel/messages.py
@@ -33,7 +33,9 @@
     ``slowness`` is the current service time relative to the usual one, if the
     upstream reports it; ``service_time_ms`` is then the time at the usual speed.
     ``may_repeat`` is true if the gate's repeat budget has room for a repeat.
-    ``failure_share`` is the share of recent requests that the upstream has failed.
+    ``failure_share`` is the share of recent requests that the upstream has failed,
+    ``shed_share`` the share that it has declined to run. ``link_use`` is the fraction
+    of the VM's link that its traffic takes up.
     """
 
     in_flight: int
@@ -47,6 +49,8 @@
     slowness: float = 1.0
     may_repeat: bool = True
     failure_share: float = 0.0
+    shed_share: float = 0.0
+    link_use: float = 0.0
 
     def has_free_slot(self) -> bool:
         """Return whether a call would find a free slot."""
@@ -85,6 +89,8 @@
     have reached an upstream: one still in flight (`SPARE`), refused (`REFUSED`) or
     failed (`FAILED`); or if the calling request is a repeat itself (`WITHIN`).
     ``immediate`` asks the gate to refuse a call that it can't start at once.
+    ``spent_ms`` is the work already done for the outer request of a nested call, which
+    is lost if the call fails; 0 for the requests of callers.
     """
 
     stream: StreamId
@@ -105,6 +111,7 @@
     work_ms: float = 0.0
     repeat: Repeat = Repeat.FIRST
     immediate: bool = False
+    spent_ms: float = 0.0
 
 
 class Body(Message, tag="body"):
--- a/cicadawheel/wire/handshake.py
+++ b/cicadawheel/wire/handshake.py
@@ -13,7 +13,7 @@
 from cicadawheel.errors import AuthenticationError, ProtocolError
 from cicadawheel.wire.message import Message
 
-PROTOCOL_VERSION = 8
+PROTOCOL_VERSION = 9
 CHALLENGE_BYTES = 16
 
 
