A route that names an unknown service beside weighted ones is refused

Cause: the name isn't used where weights are given, so that nothing checked it. A route that names an unknown service is invalid whether the name is used or not.

test_malformed_document_is_refused[body6] fails on the code before (the document is taken).

--- a/cicadawheel/platform/document.py
+++ b/cicadawheel/platform/document.py
@@ -137,6 +137,7 @@
         The document is malformed or incomplete.
     """
     document = decode_body(body, DocumentBody)
+    _check_unused_names(document)
     return Document(
         version=document.version,
         base_version=document.base_version,
@@ -151,6 +152,16 @@
     )
 
 
+def _check_unused_names(document: DocumentBody) -> None:
+    """Refuse an unknown service that a route names beside its weighted ones."""
+    names = {service.name for service in document.services}
+    for host in document.virtual_hosts:
+        for path in host.paths:
+            if path.weighted_clusters and path.service and path.service not in names:
+                route = host.host + path.path_prefix
+                raise ValueError(f"route {route}: service {path.service} is unknown")
+
+
 def _service_rule(service: ServiceBody, habits: ReleaseHabits) -> ServiceRule:
     return ServiceRule(
         name=ServiceName(service.name),
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -35,6 +35,7 @@
     "service": "huvo11a",
     "max_attempts": 2,
 }
+SHARE = {"service": "huvo11a", "weight": 1}
 HEARTBEAT = {
     "service": "huvo11a",
     "address": "10.128.0.9:8080",
@@ -106,6 +107,7 @@
         b"[]",
         make_document(version="seven"),
         make_document({**PATH, "route_type": "sometimes"}),
+        make_document({**PATH, "service": "x", "weighted_clusters": [SHARE]}),
         make_document({**PATH, "timeout_s": None}),
         make_document({k: v for k, v in PATH.items() if k != "max_attempts"}),
     ],
