The soak sends reads ahead on connections, in bursts of one kind at times

Cause: requests ahead on a connection were played by nothing of our own. Six reads go out at once on a connection, each fourth of a second, and each fortieth time twelve such trains of one kind. Each answer is checked against its own request; a wrong one breaks the soak.

Resets when full and uneven data centres aren't in the soak.

--- a/bench/content.py
+++ b/bench/content.py
@@ -44,3 +44,8 @@
     for chunk in chunks(block, size_bytes):
         digest.update(chunk)
     return digest.hexdigest()
+
+
+def checksum_of(body: bytes) -> str:
+    """Return the SHA-256 digest of a body."""
+    return hashlib.sha256(body).hexdigest()
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -30,7 +30,8 @@
     were all replicas, or most of them for ``late_work_out_stretched``. An answer cut
     off by a planned stop counts only if no fault occurred around that time.
     ``held`` counts calls without an answer one second after their deadline, at
-    undisturbed entries.
+    undisturbed entries. ``wrong_ahead`` counts wrong answers to reads that were sent
+    ahead on a connection.
     """
 
     wrong: int = 0
@@ -45,6 +46,7 @@
     revisions_lowered: int = 0
     cut_by_stop: int = 0
     held: int = 0
+    wrong_ahead: int = 0
     old_reads: int = 0
     races_won_twice: int = 0
     newest_lost: int = 0
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -17,6 +17,7 @@
 from bench.progress import report
 from bench.record import read_records
 from bench.scheduler import SchedulePlan, Scheduler
+from bench.soak.ahead import AheadCallers
 from bench.soak.faults import DrawFault, draw_fault, draw_long_fault, draw_silent_fault
 from bench.soak.operators import Operators
 from bench.soak.promises import InvariantChecker, Promises
@@ -58,6 +59,7 @@
     promises: Promises
     calls: int
     answered: int
+    answered_ahead: int
     disturbances: int
     changes: int
     reads: int
@@ -123,11 +125,13 @@
     operators = Operators(site.deployment, random.Random(plan.seed))
     watch = RevisionWatch(site.deployment)
     load = Load(_plan_load(site, "soak", plan.duration_s * MS_PER_S, plan.seed))
+    ahead = AheadCallers(site.deployment.entries(), KUSHIRO_CALLS, plan.seed)
     helpers = [
         asyncio.ensure_future(work)
         for work in (
             operators.run(),
             watch.run(),
+            ahead.run(),
             _restart_exited(site),
             _check_periodically(site, checker, load.result),
         )
@@ -149,6 +153,7 @@
         old_reads=operators.old_reads,
         races_won_twice=operators.races_won_twice,
         newest_lost=int(not kept),
+        wrong_ahead=ahead.wrong,
         not_served_after=len(after.records) - after.counts().answered,
     )
     return SoakResult(
@@ -156,6 +161,7 @@
         promises=promises,
         calls=len(load.result.records),
         answered=load.result.counts().answered,
+        answered_ahead=ahead.answered,
         disturbances=scheduler.begun,
         changes=len(operators.acknowledged),
         reads=operators.reads,
