Requests sent ahead on a connection run side by side

Cause: a connection had one call at a time, so requests that a caller sent before the first one was answered waited in the parser, and their times added up.

Change: each request has its own parser state and framing (http/caller_request.py), a plain object decides what runs beside what (http/run_order.py), and the connection sends the answers in order. Requests that run once start when they are the first. Limits: requests_ahead_limit and ahead_limit_bytes in [entry].

--- a/cicadawheel/entry/body.py
+++ b/cicadawheel/entry/body.py
@@ -5,7 +5,7 @@
 """
 
 from cicadawheel.entry.peers import CallHandle
-from cicadawheel.http.caller import CallerConnection
+from cicadawheel.http.caller_request import CallerRequest
 from cicadawheel.messages import Body, End
 
 DEFERRED_BODY_BYTES = 16_384
@@ -17,15 +17,16 @@
 
     Parameters
     ----------
-    connection : CallerConnection
-        The caller's connection; reading is paused while the buffers are full.
+    connection : CallerRequest
+        The request on the caller's connection; reading is paused while the buffers
+        are full.
     buffer_bytes : int
         The size of each of the two buffers.
     complete : bool
         Whether the body is complete from the start, that is, there is none.
     """
 
-    def __init__(self, connection: CallerConnection, buffer_bytes: int, complete: bool):
+    def __init__(self, connection: CallerRequest, buffer_bytes: int, complete: bool):
         self.connection = connection
         self.buffer_bytes = buffer_bytes
         self.complete = complete
--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -21,7 +21,7 @@
 from cicadawheel.entry.retry import DISPATCH_LIMIT, is_retriable
 from cicadawheel.entry.versions import Pick
 from cicadawheel.errors import CicadawheelError
-from cicadawheel.http.caller import CallerConnection
+from cicadawheel.http.caller_request import CallerRequest
 from cicadawheel.http.fields import RequestHead, has_body
 from cicadawheel.ids import NodeId, StreamId, VersionName
 from cicadawheel.logs import log_event
@@ -63,8 +63,8 @@
     ----------
     entry : CallOwner
         The entry that serves the call.
-    connection : CallerConnection
-        The caller's connection, to which the answer is sent.
+    connection : CallerRequest
+        The request on the caller's connection, to which the answer is sent.
     request : RequestHead
         The head of the request.
     plan : CallPlan
@@ -76,7 +76,7 @@
     def __init__(
         self,
         entry: CallOwner,
-        connection: CallerConnection,
+        connection: CallerRequest,
         request: RequestHead,
         plan: CallPlan,
         within_repeat: bool = False,
@@ -157,6 +157,8 @@
         self._reply.caller_writable()
 
     def _dispatch(self) -> None:
+        if not self.connection.may_start(self.plan.repeatable):
+            return
         beginning = bytes(self._body.beginning)
         self._fingerprint = make_fingerprint(self.plan, beginning)
         if self._fingerprint in self.entry.quarantined:
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -28,6 +28,7 @@
 from cicadawheel.entry.versions import Pick, Versions
 from cicadawheel.gate.gate import Gate
 from cicadawheel.http.caller import CallerConnection
+from cicadawheel.http.caller_request import CallerRequest
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.http.fields import (
     Headers,
@@ -214,9 +215,11 @@
             connection.check_timeouts(now_s)
 
     def begin_call(
-        self, connection: CallerConnection, request: RequestHead
+        self, connection: CallerRequest, request: RequestHead
     ) -> EntryCall | None:
         """Begin a call, or reject an invalid request at once."""
+        if connection.ahead:
+            self.metrics.requests_ahead.inc()
         named = find_field(request.headers, self.dialect.request_id) or b""
         request_id = named.decode("latin-1")
         if not self.configuration.revision:
--- a/cicadawheel/entry/reply.py
+++ b/cicadawheel/entry/reply.py
@@ -4,7 +4,7 @@
 
 from cicadawheel.control.state.claims import ANSWER_LIMIT_BYTES
 from cicadawheel.entry.answer import Answer
-from cicadawheel.http.caller import CallerConnection
+from cicadawheel.http.caller_request import CallerRequest
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.ids import RequestId
 from cicadawheel.messages import Header, ReplyHead
@@ -15,8 +15,8 @@
 
     Parameters
     ----------
-    connection : CallerConnection
-        The caller's connection.
+    connection : CallerRequest
+        The request on the caller's connection.
     request : RequestId
         The request id, returned to the caller.
     give_credit : Callable
@@ -27,7 +27,7 @@
 
     def __init__(
         self,
-        connection: CallerConnection,
+        connection: CallerRequest,
         request: RequestId,
         give_credit: Callable[[int], None],
         dialect: Dialect = OWN_DIALECT,
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -1,21 +1,18 @@
-"""HTTP/1.1 server connections for callers, with one call at a time on each."""
+"""HTTP/1.1 server connections for callers, which may send requests ahead."""
 
 import asyncio
-import contextlib
 import logging
 import socket
+from collections import deque
 from enum import Enum
 from typing import Protocol
 
 import h11
 
 from cicadawheel.configuration import CallerLimits
-from cicadawheel.http.fields import (
-    END_OF_MESSAGE,
-    RequestHead,
-    content_length,
-    read_request,
-)
+from cicadawheel.http.caller_request import CallerRequest, CallOwner, discard_body
+from cicadawheel.http.fields import RequestHead, content_length, read_request
+from cicadawheel.http.run_order import DEFAULT_LIMITS, AheadLimits, RunOrder
 from cicadawheel.http.unread import has_unread_bytes
 from cicadawheel.logs import log_event
 from cicadawheel.messages import Header
@@ -29,41 +26,22 @@
 # How long the rest of a request body is read and discarded after an early response.
 # Closing a socket with unread data resets it, and the caller could lose the response.
 LINGER_TIMEOUT_S = 2.0
-# Reading pauses if more than this arrives after a request that isn't answered yet.
+# Reading pauses if more than this arrives of requests that can't be read yet.
 PIPELINE_LIMIT_BYTES = 65_536
 REQUEST_TIMEOUT_STATUS = 408
 CONTENT_TOO_LARGE_STATUS = 413
 NOT_IMPLEMENTED_STATUS = 501
 
-# States of the caller's side while its request hasn't been read whole.
-UNREAD_STATES = (h11.SEND_BODY, h11.ERROR)
-
-Fields = list[tuple[bytes, bytes]]
-
-
-class CallOwner(Protocol):
-    """Receives the request body of one call and the events of its connection."""
-
-    def body_received(self, data: bytes) -> None:
-        """Handle a chunk of the request body."""
-
-    def body_ended(self) -> None:
-        """Handle the end of the request."""
-
-    def caller_lost(self) -> None:
-        """Handle the loss of the connection before the response was complete."""
-
-    def caller_writable(self) -> None:
-        """Resume sending, as the write buffer has drained."""
-
 
 class CallService(Protocol):
     """Starts calls and supplies the limits for connections."""
 
-    def begin_call(
-        self, connection: "CallerConnection", request: RequestHead
-    ) -> CallOwner:
-        """Start a call for a received request head and return its owner."""
+    def begin_call(self, caller: CallerRequest, request: RequestHead) -> CallOwner:
+        """Start a call for a received request head and return its owner.
+
+        A call that waits for earlier ones on its connection starts when its owner is
+        told to begin; see `CallerRequest.may_start`.
+        """
 
     def connection_opened(self, connection: "CallerConnection") -> bool:
         """Register a new connection and return whether it is accepted."""
@@ -87,15 +65,25 @@
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller.
 
+    Each request is a call of its own, which `RunOrder` lets run beside those before it.
+    Their answers are sent in the order of the requests.
+
     Parameters
     ----------
     service : CallService
         Starts the calls.
     head_limit_bytes : int
         Maximum size of a request head; a longer one is rejected.
+    ahead : AheadLimits
+        Limits on the requests that are sent before the first one is answered.
     """
 
-    def __init__(self, service: CallService, head_limit_bytes: int):
+    def __init__(
+        self,
+        service: CallService,
+        head_limit_bytes: int,
+        ahead: AheadLimits = DEFAULT_LIMITS,
+    ):
         self.service = service
         self.state = ConnectionState.IDLE
         self.peer = ""
@@ -104,13 +92,14 @@
         self.writable = True
         self.closing = False
         self._closes_when_idle = False
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=head_limit_bytes
-        )
+        self._head_limit_bytes = head_limit_bytes
+        self._http = self._make_http()
+        """Parses the request that is being received, or the next one."""
+        self._requests: deque[CallerRequest] = deque()
+        """The requests whose answers haven't been sent whole, in their order."""
+        self._order = RunOrder(ahead)
         self._transport: asyncio.Transport | None = None
-        self._owner: CallOwner | None = None
         self._processing_events = False
-        self._body_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection, or respond with 503 if there are too many."""
@@ -119,28 +108,17 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if not self.service.connection_opened(self):
-            self.refuse(503, "too many connections")
+            self._refuse(503, "too many connections")
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and handle the resulting events."""
-        try:
-            self._http.receive_data(data)
-        except h11.RemoteProtocolError as error:
-            self._reject_malformed(error)
-            return
+        self._http.receive_data(data)
         if self.state is ConnectionState.LINGERING:
             self._discard_body()
             return
         self._process_events()
-        self._limit_pipelining()
         self._close_if_idle()
 
-    def _limit_pipelining(self) -> None:
-        if self._owner is None or self._http.their_state is not h11.DONE:
-            return
-        if len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
-            self._transport.pause_reading()
-
     def check_timeouts(self, now_s: float) -> None:
         """Close the connection if it has exceeded a head, idle or linger timeout."""
         if self._transport is None:
@@ -156,7 +134,7 @@
         idle_timeout_s = limits.idle_timeout_ms / MS_PER_S or IDLE_TIMEOUT_S
         head_started_s = self._head_started_s
         if head_started_s is not None and now_s - head_started_s > head_timeout_s:
-            self.refuse(REQUEST_TIMEOUT_STATUS, "the request's head took too long")
+            self._refuse(REQUEST_TIMEOUT_STATUS, "the request's head took too long")
         elif head_started_s is None and now_s - self._idle_since_s > idle_timeout_s:
             self._transport.close()
 
@@ -165,126 +143,181 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Notify the owner of the call in progress and the service."""
+        """Notify the owners of the calls in progress and the service."""
         self._transport = None
         self.writable = True
         self.state = ConnectionState.CLOSED
-        owner, self._owner = self._owner, None
-        if owner is not None:
-            owner.caller_lost()
+        self._lose_behind(0)
         self.service.connection_closed(self)
 
+    def held_bytes(self) -> int:
+        """Return the number of bytes held of received requests and of answers."""
+        return len(self._http.trailing_data[0]) + self.unsent_bytes()
+
     def unsent_bytes(self) -> int:
-        """Return the number of bytes not yet passed to the kernel."""
+        """Return the number of bytes of answers not yet passed to the kernel."""
         if self._transport is None:
             return 0
-        return self._transport.get_write_buffer_size()
+        kept_bytes = sum(len(request.kept) for request in self._requests)
+        return self._transport.get_write_buffer_size() + kept_bytes
 
     def pause_writing(self) -> None:
         """Mark the connection as not writable while its write buffer is full."""
         self.writable = False
 
     def resume_writing(self) -> None:
-        """Notify the owner that the write buffer has drained."""
+        """Notify the owner of the first request that the write buffer has drained."""
         self.writable = True
-        if self._owner is not None:
-            self._owner.caller_writable()
-
-    def pause_body(self) -> None:
-        """Pause reading of the request body."""
-        if self._transport is not None:
-            self._transport.pause_reading()
-
-    def resume_body(self) -> None:
-        """Resume reading of the request body."""
-        if self._transport is not None:
-            self._transport.resume_reading()
+        if self._requests and self._requests[0].owner is not None:
+            self._requests[0].owner.caller_writable()
 
     def respond(self, status: int, headers: tuple[Header, ...], body: bytes) -> None:
-        """Send a complete response in one write and wait for the next request."""
-        if self._transport is None:
-            return
-        self._discard_received_body()
-        fields = self._response_fields(headers)
-        if not any(name == b"content-length" for name, _ in fields):
-            fields.append((b"content-length", b"%d" % len(body)))
-        data = self._send_head(status, fields)
-        if body:
-            data += self._http.send(h11.Data(data=body))
-        self._finish_response(data + self._http.send(END_OF_MESSAGE))
+        """Answer the first request with a complete response."""
+        self._requests[0].respond(status, headers, body)
 
     def start_response(self, status: int, headers: tuple[Header, ...]) -> None:
-        """Send the head of a response whose body is streamed."""
-        if self._transport is not None:
-            self._transport.write(
-                self._send_head(status, self._response_fields(headers))
-            )
-
-    def send_body(self, data: bytes) -> None:
-        """Send a chunk of the response body."""
-        if self._transport is not None:
-            self._transport.write(self._http.send(h11.Data(data=data)))
-
-    def end_response(self) -> None:
-        """Complete a streamed response and wait for the next request."""
-        if self._transport is not None:
-            self._finish_response(self._http.send(END_OF_MESSAGE))
+        """Send the head of a streamed response to the first request."""
+        self._requests[0].start_response(status, headers)
 
     def abort(self) -> None:
-        """Abort the connection so that a partial response is seen as incomplete."""
-        self._owner = None
+        """Close the connection at once, with all its calls."""
         if self._transport is not None:
             self._transport.abort()
 
     def close_when_idle(self) -> None:
-        """Close the connection once the call in progress, if any, has ended."""
+        """Close the connection once the calls in progress, if any, have ended."""
         self.closing = True
         self._closes_when_idle = True
         self._close_if_idle()
 
-    def refuse(self, status: int, reason: str) -> None:
-        """Send a plain-text error response and close the connection."""
-        if self._transport is None:
-            return
-        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body = reason.encode() + b"\n"
-            fields = [
-                (b"content-type", b"text/plain; charset=utf-8"),
-                (b"content-length", b"%d" % len(body)),
-                (b"connection", b"close"),
-            ]
-            data = self._http.send(h11.Response(status_code=status, headers=fields))
-            data += self._http.send(h11.Data(data=body))
-            self._transport.write(data + self._http.send(END_OF_MESSAGE))
-        self._linger()
-
-    def _response_fields(self, headers: tuple[Header, ...]) -> Fields:
-        fields = [(header.name, header.value) for header in headers]
-        if self.closing or self._http.their_state in UNREAD_STATES:
-            fields.append((b"connection", b"close"))
-        return fields
-
-    def _send_head(self, status: int, fields: Fields) -> bytes:
-        return self._http.send(h11.Response(status_code=status, headers=fields))
-
-    def _finish_response(self, data: bytes) -> None:
+    def closes_after(self, request: CallerRequest) -> bool:
+        """Return whether the connection closes after the answer to a request."""
+        return self.closing and request is self._requests[-1]
+
+    def may_start(self, request: CallerRequest) -> bool:
+        """Return whether a request may run beside those before it."""
+        return self._order.may_start(self._requests, request)
+
+    def is_writable(self, request: CallerRequest) -> bool:
+        """Return whether there is room for more of an answer."""
+        if request is self._requests[0]:
+            return self.writable
+        return self._order.has_room(self._ahead_bytes())
+
+    def send(self, request: CallerRequest, data: bytes) -> bool:
+        """Send a part of the first answer; return False for those behind it."""
+        if request is not self._requests[0]:
+            return False
         self._transport.write(data)
-        self._owner = None
-        self._discard_received_body()
-        if self._http.their_state is not h11.DONE:
-            self._linger()
+        return True
+
+    def cut(self, request: CallerRequest) -> None:
+        """End the connection in the place of an answer that isn't complete."""
+        if request is self._requests[0]:
+            self._lose_behind(1)
+            self._transport.abort()
+        else:
+            self.request_answered(request)
+
+    def request_answered(self, request: CallerRequest) -> None:
+        """Send the answers whose turn has come, and start and read what waited."""
+        if request.closes:
+            self._lose_behind(self._requests.index(request) + 1)
+        while self._requests and self._requests[0].answered:
+            if not self._finish_first():
+                return
+        for waiting in self._order.startable(self._requests):
+            # Another one that begins and is answered at once may have begun it.
+            if waiting.waits and waiting.owner is not None:
+                waiting.waits = False
+                waiting.owner.begin()
+        if self._processing_events:
             return
-        if self._http.our_state is not h11.DONE:
-            self._transport.close()
+        if self._http.trailing_data[0]:
+            self._process_events()
+        else:
+            self.update_reading()
+        self._close_if_idle()
+
+    def update_reading(self) -> None:
+        """Pause reading while what has been received can't be processed."""
+        if self._transport is None:
             return
-        self._http.start_next_cycle()
-        self.state = ConnectionState.IDLE
-        self._idle_since_s = asyncio.get_running_loop().time()
-        self._transport.resume_reading()
-        if not self._processing_events:
-            if self._http.trailing_data[0]:
-                self._process_events()
-            self._close_if_idle()
+        if self._requests and self._is_full():
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _make_http(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._head_limit_bytes
+        )
+
+    def _is_full(self) -> bool:
+        if any(request.body_paused for request in self._requests):
+            return True
+        if not self._receives_body():
+            # Reading goes on where possible, to notice a caller that leaves.
+            return len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES
+        return len(self._requests) > 1 and not self._order.has_room(self._ahead_bytes())
+
+    def _receives_body(self) -> bool:
+        """Return whether the body of the last request is being received."""
+        if self._http.their_state is not h11.SEND_BODY or not self._requests:
+            return False
+        return self._requests[-1].http is self._http
+
+    def _ahead_bytes(self) -> int:
+        """Return the number of bytes held for the requests behind the first one."""
+        held_bytes = sum(request.held_bytes for request in self._requests)
+        return held_bytes - self._requests[0].held_bytes
+
+    def _lose_behind(self, place: int) -> None:
+        """End the calls of all requests from a place on."""
+        lost = [self._requests.pop() for _ in range(len(self._requests) - place)]
+        if lost and self._transport is not None:
+            log_event(log, "requests_not_answered", peer=self.peer, count=len(lost))
+        for request in reversed(lost):
+            request.lose()
+
+    def _finish_first(self) -> bool:
+        """Remove the first request, whose answer is sent; return False at the end."""
+        first = self._requests.popleft()
+        if first.http.their_state is not h11.DONE:
+            self._linger(first)
+            return False
+        if first.closes:
+            self._transport.close()
+            return False
+        if first.http is self._http:
+            self._http.start_next_cycle()
+        if not self._requests:
+            self.state = ConnectionState.IDLE
+            self._idle_since_s = asyncio.get_running_loop().time()
+            return True
+        self._move_up(self._requests[0])
+        return True
+
+    def _move_up(self, first: CallerRequest) -> None:
+        """Send on an answer that has become the first one."""
+        kept = first.take_kept()
+        if kept:
+            self._transport.write(kept)
+        if self._http is first.http and not first.answered:
+            first.send_continue()
+        for request in list(self._requests):
+            if request.owner is not None:
+                request.owner.caller_writable()
+
+    def _refuse(self, status: int, reason: str) -> None:
+        """Answer the next request, which can't be served, and close the connection."""
+        if self._transport is not None:
+            self._add_request(None).refuse(status, reason)
+
+    def _add_request(self, head: RequestHead | None) -> CallerRequest:
+        request = CallerRequest(self, self._http, head, bool(self._requests))
+        self._requests.append(request)
+        return request
 
     def _close_if_idle(self) -> None:
         """Close the connection if it has no call, unless bytes of a request arrived."""
@@ -293,12 +326,12 @@
         if self._transport is not None and not has_unread_bytes(self._transport):
             self._transport.close()
 
-    def _linger(self) -> None:
+    def _linger(self, last: CallerRequest) -> None:
         """Discard the unread rest of a request body before closing the connection.
 
         The connection closes when the body ends, or after `LINGER_TIMEOUT_S`.
         """
-        if self._http.their_state is not h11.SEND_BODY:
+        if last.http.their_state is not h11.SEND_BODY:
             self._transport.close()
             return
         self.state = ConnectionState.LINGERING
@@ -306,21 +339,10 @@
         self._transport.resume_reading()
 
     def _discard_body(self) -> None:
-        self._discard_received_body()
+        discard_body(self._http)
         if self._http.their_state is not h11.SEND_BODY:
             self._transport.close()
 
-    def _discard_received_body(self) -> None:
-        """Read and discard what has arrived of the request body.
-
-        A request that was answered on its head alone may have arrived whole, and the
-        event for its end is still to be read then.
-        """
-        with contextlib.suppress(h11.RemoteProtocolError):
-            while self._http.their_state is h11.SEND_BODY:
-                if self._http.next_event() is h11.NEED_DATA:
-                    return
-
     def _process_events(self) -> None:
         self._processing_events = True
         try:
@@ -331,6 +353,7 @@
         finally:
             self._processing_events = False
         self._time_partial_head()
+        self.update_reading()
 
     def _time_partial_head(self) -> None:
         if self.state is not ConnectionState.IDLE or self._head_started_s is not None:
@@ -338,41 +361,76 @@
         if self._http.trailing_data[0]:
             self._head_started_s = asyncio.get_running_loop().time()
 
+    def _may_read(self) -> bool:
+        """Return whether the next event may be read; prepare to read the next head."""
+        if self._http.their_state is h11.SEND_BODY:
+            return self._receives_body()
+        if self._requests and not self._may_read_ahead():
+            return False
+        if self._http.their_state is not h11.DONE:
+            return self._http.their_state is h11.IDLE
+        received = self._http.trailing_data[0]
+        if received:
+            self._http = self._make_http()
+            self._http.receive_data(received)
+        return bool(received)
+
+    def _may_read_ahead(self) -> bool:
+        """Return whether another request may follow those that aren't answered.
+
+        One that follows an answer which closes the connection counts as not received.
+        """
+        last = self._requests[-1]
+        if self.closing or (last.answered and last.closes):
+            return False
+        return self._order.may_read(self._requests, self._ahead_bytes())
+
     def _process_event(self) -> bool:
+        if not self._may_read():
+            return False
         event = self._http.next_event()
         if event is h11.NEED_DATA:
-            self._send_continue()
-            return False
-        if event is h11.PAUSED:
+            if self._requests and self._requests[0].http is self._http:
+                self._requests[0].send_continue()
             return False
         if isinstance(event, h11.Request):
-            self.state = ConnectionState.IN_CALL
-            self._head_started_s = None
-            self._body_bytes = 0
-            request = read_request(event)
-            if request.method == b"CONNECT":
-                self.refuse(NOT_IMPLEMENTED_STATUS, "tunnels aren't supported")
-                return False
-            if self._reject_oversized_body(content_length(request.headers) or 0):
-                return False
-            self._owner = self.service.begin_call(self, request)
+            self._begin_request(read_request(event))
         elif isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            if self._reject_oversized_body(self._body_bytes):
-                return False
-            if self._owner is not None:
-                self._owner.body_received(bytes(event.data))
+            self._receive_body(self._requests[-1], bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            if self._owner is not None:
-                self._owner.body_ended()
-            # A pipelined request is not parsed until this call has been answered.
-            return self._http.their_state is not h11.DONE
+            request = self._requests[-1]
+            request.whole = True
+            request.body_paused = False
+            if request.owner is not None:
+                request.owner.body_ended()
         else:
             self._transport.close()
             return False
         return True
 
-    def _reject_oversized_body(self, body_bytes: int) -> bool:
+    def _begin_request(self, head: RequestHead) -> None:
+        self.state = ConnectionState.IN_CALL
+        self._head_started_s = None
+        request = self._add_request(head)
+        if head.method == b"CONNECT":
+            request.refuse(NOT_IMPLEMENTED_STATUS, "tunnels aren't supported")
+            return
+        if self._reject_oversized_body(request, content_length(head.headers) or 0):
+            return
+        owner = self.service.begin_call(request, head)
+        if not request.answered:
+            request.owner = owner
+
+    def _receive_body(self, request: CallerRequest, data: bytes) -> None:
+        if request.answered:
+            return
+        request.body_bytes += len(data)
+        if self._reject_oversized_body(request, request.body_bytes):
+            return
+        if request.owner is not None:
+            request.owner.body_received(data)
+
+    def _reject_oversized_body(self, request: CallerRequest, body_bytes: int) -> bool:
         """Reject the request with 413 if its body exceeds the limit.
 
         Returns whether it was rejected.
@@ -381,20 +439,20 @@
         if not limit_bytes or body_bytes <= limit_bytes:
             return False
         log_event(log, "caller_refused", peer=self.peer, reason="body too big")
-        owner, self._owner = self._owner, None
-        if owner is not None:
-            owner.caller_lost()
-        self.refuse(CONTENT_TOO_LARGE_STATUS, "the request's body is too big")
+        self._reject(request, CONTENT_TOO_LARGE_STATUS, "the request's body is too big")
         return True
 
-    def _send_continue(self) -> None:
-        if self._http.they_are_waiting_for_100_continue:
-            interim_response = h11.InformationalResponse(status_code=100, headers=[])
-            self._transport.write(self._http.send(interim_response))
-
     def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         log_event(log, "caller_refused", peer=self.peer, reason=str(error))
-        owner, self._owner = self._owner, None
+        if self._requests and self._requests[-1].http is self._http:
+            request = self._requests[-1]
+        else:
+            request = self._add_request(None)
+        self._reject(request, error.error_status_hint, str(error))
+
+    def _reject(self, request: CallerRequest, status: int, reason: str) -> None:
+        """Answer a request with an error and end its call."""
+        owner, request.owner = request.owner, None
         if owner is not None:
             owner.caller_lost()
-        self.refuse(error.error_status_hint, str(error))
+        request.refuse(status, reason)
--- a/cicadawheel/metrics.py
+++ b/cicadawheel/metrics.py
@@ -34,6 +34,11 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.requests_ahead = Counter(
+            "cicadawheel_requests_ahead",
+            "Requests read before earlier ones on their connection were answered.",
+            registry=self.registry,
+        )
         self.revision = Gauge(
             "cicadawheel_revision",
             "Revision of the configuration in force.",
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -33,6 +33,7 @@
     serve_http,
     text_answer,
 )
+from cicadawheel.http.run_order import AheadLimits
 from cicadawheel.ids import BootId, Epoch, LogIndex, NodeId, VersionName
 from cicadawheel.logs import log_event
 from cicadawheel.messages import LoadReport
@@ -342,9 +343,10 @@
     async def _open_servers(self) -> list[asyncio.Server | HttpServer]:
         addresses = self.settings.node
         loop = asyncio.get_running_loop()
-        head_limit_bytes = self.settings.entry.head_limit_bytes
+        entry = self.settings.entry
+        ahead = AheadLimits(entry.requests_ahead_limit, entry.ahead_limit_bytes)
         callers = await loop.create_server(
-            lambda: CallerConnection(self.entry, head_limit_bytes),
+            lambda: CallerConnection(self.entry, entry.head_limit_bytes, ahead),
             addresses.caller_address.host,
             addresses.caller_address.port,
         )
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -114,6 +114,8 @@
     retry_window_ms: PositiveMs = 10_000.0
     head_limit_bytes: Positive = 32_768
     connection_limit: Positive = 4_096
+    requests_ahead_limit: Positive = 32
+    ahead_limit_bytes: Positive = 1_048_576
 
     @property
     def has_retry_budget(self) -> bool:
