Nested calls go first at equal rank, and kinds share a full upstream

Cause: a call that an upstream makes while it runs a request counted like any new one; if it was refused for being late, the work of the outer request was lost. At equal rank the nearest target went first, so that a burst of one kind took the slots of the others.

Change: a node knows the runs at its upstream (gate/runs.py). A call of one of them gets the rank of its run if that is higher, no more time than it, and tells the work done so far. At equal rank it goes first, also for reserved slots, and isn't refused for its target while it can meet its deadline. In an overload (a queue of more than 200 ms) the kinds that hold their share of the slots or more (max-min, gate/fair_share.py) wait behind the others of their rank.

Tried first: shares at any queue.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -302,6 +302,7 @@
             work_ms=self.entry.work_times.usual_ms(self.plan.route),
             repeat=self._repeat_kind(),
             immediate=immediate,
+            spent_ms=self.plan.spent_ms,
         )
 
     def _repeat_kind(self) -> Repeat:
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -15,6 +15,7 @@
 from cicadawheel.entry.call import EntryCall
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.latency import Latencies
+from cicadawheel.entry.nested import plan_nested
 from cicadawheel.entry.owner import CallEnd
 from cicadawheel.entry.peers import CallHandle, PeerLinks
 from cicadawheel.entry.placement import CallProfile, WorkTimes
@@ -55,7 +56,7 @@
 )
 from cicadawheel.metrics import NodeMetrics
 from cicadawheel.release.chooser import VersionChoice
-from cicadawheel.reserve import SlotReserve
+from cicadawheel.reserve import SlotReserve, reserve_rank
 from cicadawheel.settings import EntrySettings
 from cicadawheel.timer import Clock
 
@@ -254,8 +255,11 @@
             connection.respond(answer.status, answer.headers, answer.body)
             return None
         now_ms = self.clock.now_ms()
+        outer = self.gate.repeats.runs.outer(plan.request)
+        if outer is not None:
+            plan = plan_nested(plan, outer, now_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
-        reserve.record_request(plan.priority, now_ms)
+        reserve.record_request(reserve_rank(plan.priority, plan.spent_ms), now_ms)
         within = self.gate.repeats.is_within(plan.request)
         call = EntryCall(self, connection, request, plan, within)
         self.calls.add(call)
@@ -414,7 +418,8 @@
 
     def _profile(self, plan: CallPlan, body_bytes: int = 0) -> CallProfile:
         reserve = self._reserves.get(plan.service)
-        usable_part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
+        rank = reserve_rank(plan.priority, plan.spent_ms)
+        usable_part = 1.0 if reserve is None else reserve.usable_part(rank)
         return CallProfile(
             self.work_times.usual_ms(plan.route), body_bytes, usable_part
         )
--- a/cicadawheel/entry/plan.py
+++ b/cicadawheel/entry/plan.py
@@ -35,7 +35,8 @@
 
     ``claimed`` is set if it needs a claim with control, which covers all requests with
     its ``key``. ``target_ms`` is the target latency, 0 if there is none. ``attempts``
-    is the maximum number of attempts that may reach an upstream.
+    is the maximum number of attempts that may reach an upstream. ``spent_ms`` is set
+    for a nested call, see `CallOpen`.
     """
 
     request: RequestId
@@ -52,6 +53,7 @@
     target_ms: float = 0.0
     priority: int = 0
     attempts: int = ATTEMPT_LIMIT
+    spent_ms: float = 0.0
 
 
 def plan_by_host(
--- a/cicadawheel/gate/decision.py
+++ b/cicadawheel/gate/decision.py
@@ -19,13 +19,15 @@
     """Scheduling hints of a request: target time, priority and expected service time.
 
     Priority 0 is served first. A time of 0 is unknown. An ``immediate`` request is
-    refused as busy where it would have to wait.
+    refused as busy where it would have to wait. ``spent_ms`` is the work already done
+    for the outer request of a nested call, 0 for others.
     """
 
     target_at_ms: float = 0.0
     priority: int = 0
     work_ms: float = 0.0
     immediate: bool = False
+    spent_ms: float = 0.0
 
 
 NO_HINTS = SchedulingHints()
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -235,7 +235,7 @@
         target_ms = call.target_ms
         target_at_ms = now_ms + target_ms if target_ms else 0.0
         hints = SchedulingHints(
-            target_at_ms, call.priority, call.work_ms, call.immediate
+            target_at_ms, call.priority, call.work_ms, call.immediate, call.spent_ms
         )
         decision = self.admission.offer(
             ticket,
--- a/cicadawheel/gate/repeats.py
+++ b/cicadawheel/gate/repeats.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cicadawheel.gate.repeat_budget import RepeatBudget, RepeatBudgetReport
+from cicadawheel.gate.runs import RUN_ID_SEPARATOR, Runs
 from cicadawheel.ids import RequestId, ServiceName
 from cicadawheel.logs import log_event
 from cicadawheel.messages import CallOpen, Repeat
@@ -14,9 +15,6 @@
 
 log = logging.getLogger(__name__)
 
-RUN_ID_SEPARATOR = "."
-"""Separates the id of a run from the suffix in the ids of calls that it makes."""
-
 RUN_RETENTION_MS = 1_000.0
 """How long a run is kept past its deadline, as an upstream may end it late."""
 
@@ -67,6 +65,7 @@
         self.clock = clock
         self.budget: RepeatBudget | None = None
         self.count: CountRepeat = _discard_count
+        self.runs = Runs()
         self._runs = RepeatedRuns()
         self._reserved: set[int] = set()
         self._service = ServiceName("")
@@ -96,6 +95,7 @@
     def sent(self, ticket: int, call: CallOpen, expires_at_ms: float) -> None:
         """Charge a request that is sent to the upstream."""
         now_ms = self.clock.now_ms()
+        self.runs.add(ticket, call, expires_at_ms, now_ms)
         if call.repeat is Repeat.FIRST:
             if self.budget is not None:
                 self.budget.request_sent(now_ms)
@@ -108,7 +108,8 @@
         log_event(log, "repeat_sent", **self._fields(call))
 
     def ended(self, ticket: int) -> None:
-        """Cancel the reservation of a request that was never sent."""
+        """Forget a request; if it was never sent, cancel its reservation."""
+        self.runs.end(ticket)
         if ticket in self._reserved:
             self._reserved.remove(ticket)
             self.budget.cancel_reservation()
--- a/cicadawheel/gate/reported_admission.py
+++ b/cicadawheel/gate/reported_admission.py
@@ -23,10 +23,11 @@
     SchedulingHints,
     Verdict,
 )
+from cicadawheel.gate.fair_share import RankedKind, SlotShares
 from cicadawheel.gate.warm_up import WarmUpReport
 from cicadawheel.ids import BootId, Revision
 from cicadawheel.messages import LoadReport, RefusalReason
-from cicadawheel.reserve import SlotReserve
+from cicadawheel.reserve import SlotReserve, reserve_rank
 from cicadawheel.slowness import remaining_ms
 
 COLD_WINDOW_MS = 1_000.0
@@ -51,28 +52,35 @@
 """How long a suspect that may crash the upstream runs without other requests."""
 
 
+KindsAtShare = frozenset[RankedKind]
+QueueRank = tuple[float, bool, bool, float]
+
+
 class _Admitted(msgspec.Struct):
     alone: bool
     since_ms: float
+    kind: RankedKind
 
 
 class _QueuedRequest(msgspec.Struct):
     ticket: int
-    priority: int
     deadline_at_ms: float
     target_at_ms: float
     work_ms: float
     alone: bool
     slowness: float
+    spent_ms: float
+    kind: RankedKind
 
-    def rank(self, starts_ms: float) -> tuple[int, bool, float]:
+    def rank(self, starts_ms: float, at_share: KindsAtShare) -> QueueRank:
         """Return the sort key in the queue.
 
-        Requests are ordered by priority, then those that can still meet their target,
-        then by target. ``starts_ms`` is the assumed start of the work.
+        Requests are ordered by priority, nested calls before others, then those that
+        can still meet their target, then the kinds that hold less than their share of
+        the slots, then by target. ``starts_ms`` is the assumed start of the work.
         """
         late = starts_ms + self.work_ms > self.target_at_ms
-        return (self.priority, late, self.target_at_ms)
+        return (self.kind.rank, late, self.kind in at_share, self.target_at_ms)
 
 
 class ReportedAdmission:
@@ -92,6 +100,7 @@
         self._admitted: dict[int, _Admitted] = {}
         self._queue: list[_QueuedRequest] = []
         self._reserve = SlotReserve()
+        self._shares = SlotShares()
         self._queued_since_ms = 0.0
 
     @property
@@ -173,17 +182,18 @@
             return Decision(ticket, Verdict.REFUSE, self.closed_reason)
         waiting = _QueuedRequest(
             ticket,
-            hints.priority,
             deadline_at_ms,
             hints.target_at_ms or deadline_at_ms,
             hints.work_ms or self.work_ms,
             alone,
             self.slowness,
+            hints.spent_ms,
+            RankedKind(reserve_rank(hints.priority, hints.spent_ms), kind),
         )
-        self._reserve.record_request(hints.priority, now_ms)
+        self._reserve.record_request(waiting.kind.rank, now_ms)
         ahead = self._ahead_of(waiting, now_ms)
         if not ahead and self._has_room(waiting, now_ms):
-            self._admit(ticket, alone, now_ms)
+            self._admit(waiting, now_ms)
             return Decision(ticket, Verdict.ADMIT)
         reason = self._reason_not_to_wait(waiting, ahead, now_ms)
         if reason is not None:
@@ -209,7 +219,7 @@
         service_time_ms: float | None = None,
     ) -> list[Decision]:
         """Release a slot, update the work time and return the decisions that follow."""
-        if self._admitted.pop(ticket, None) is not None:
+        if self._release(ticket):
             usual = self.slowness < MOVE_SLOWNESS
             if result is Result.ANSWERED and service_time_ms is not None and usual:
                 work_ms = service_time_ms / self.slowness
@@ -219,18 +229,19 @@
     def withdraw(self, ticket: int) -> None:
         """Remove a request that is queued, or was admitted and never sent."""
         self._queue = [request for request in self._queue if request.ticket != ticket]
-        self._admitted.pop(ticket, None)
+        self._release(ticket)
 
     def tick(self, now_ms: float) -> list[Decision]:
         """Refuse and admit queued requests, and return the decisions."""
         decisions = self._refuse_unanswerable(now_ms)
-        self._queue.sort(key=lambda request: request.rank(now_ms))
-        for request in tuple(self._queue):
+        while self._queue:
+            at_share = self._kinds_at_share(now_ms)
+            request = min(self._queue, key=lambda one: one.rank(now_ms, at_share))
             # The rest of the queue may use no more slots than this request.
             if not self._has_room(request, now_ms):
                 break
             self._queue.remove(request)
-            self._admit(request.ticket, request.alone, now_ms)
+            self._admit(request, now_ms)
             decisions.append(Decision(request.ticket, Verdict.ADMIT))
         return decisions
 
@@ -299,8 +310,7 @@
             return RefusalReason.QUEUE_DEADLINE
         if self.slowness >= MOVE_SLOWNESS > request.slowness:
             return RefusalReason.OVERLOAD
-        late = now_ms + needed_ms > request.target_at_ms
-        if late and self._is_overload(now_ms):
+        if self._is_too_late(request, now_ms + needed_ms, now_ms):
             return RefusalReason.OVERLOAD
         return None
 
@@ -310,7 +320,8 @@
         """Return the reason to refuse a request instead of queueing it, or None.
 
         In a burst a request may wait past its target. In an overload that would only
-        make the answers to it and to all later requests late.
+        make the answers to it and to all later requests late. A nested call may wait
+        past it even then, as a late answer still saves the work of the outer request.
         """
         wait_ms = self._wait_ms(ahead, now_ms)
         ends_ms = now_ms + wait_ms + remaining_ms(waiting.work_ms, self.slowness)
@@ -318,17 +329,35 @@
         if ends_ms > now_ms + left_ms:
             cold = self._is_cold(now_ms)
             return RefusalReason.COLD if cold else RefusalReason.QUEUE_DEADLINE
-        if ends_ms > waiting.target_at_ms and self._is_overload(now_ms):
+        if self._is_too_late(waiting, ends_ms, now_ms):
             return RefusalReason.OVERLOAD
         return None
 
+    def _is_too_late(
+        self, request: _QueuedRequest, ends_ms: float, now_ms: float
+    ) -> bool:
+        """Return whether a request is refused for missing its target."""
+        if request.spent_ms or ends_ms <= request.target_at_ms:
+            return False
+        return self._is_overload(now_ms)
+
     def _is_overload(self, now_ms: float) -> bool:
         """Return whether the queue has lasted longer than a burst."""
         return bool(self._queue) and now_ms - self._queued_since_ms > BURST_MS
 
     def _ahead_of(self, waiting: _QueuedRequest, now_ms: float) -> int:
-        rank = waiting.rank(now_ms)
-        return sum(request.rank(now_ms) <= rank for request in self._queue)
+        if not self._queue:
+            return 0
+        at_share = self._kinds_at_share(now_ms, waiting)
+        rank = waiting.rank(now_ms, at_share)
+        return sum(request.rank(now_ms, at_share) <= rank for request in self._queue)
+
+    def _kinds_at_share(self, now_ms: float, *arriving: _QueuedRequest) -> KindsAtShare:
+        """Return the kinds that wait behind others; in a short burst none does."""
+        if not self._is_overload(now_ms):
+            return frozenset()
+        kinds = [request.kind for request in (*self._queue, *arriving)]
+        return self._shares.kinds_at_share(kinds, max(1, self.slots))
 
     def _wait_ms(self, ahead: int, now_ms: float) -> float:
         """Return the expected wait of a request with ``ahead`` others before it."""
@@ -350,7 +379,7 @@
         return min(1.0, max(usable, 1.0) / self.slots)
 
     def _has_room(self, waiting: _QueuedRequest, now_ms: float) -> bool:
-        usable = self._reserve.usable(waiting.priority, max(1, self.slots))
+        usable = self._reserve.usable(waiting.kind.rank, max(1, self.slots))
         if len(self._admitted) >= usable:
             return False
         if self._is_cold(now_ms) and not self._cold_rate_allows(now_ms):
@@ -378,7 +407,17 @@
         while admitted and admitted[0] <= now_ms - COLD_WINDOW_MS:
             admitted.popleft()
 
-    def _admit(self, ticket: int, alone: bool, now_ms: float) -> None:
-        self._admitted[ticket] = _Admitted(alone, now_ms)
+    def _admit(self, request: _QueuedRequest, now_ms: float) -> None:
+        admitted = _Admitted(request.alone, now_ms, request.kind)
+        self._admitted[request.ticket] = admitted
+        self._shares.take(request.kind)
         self._forget_admissions(now_ms)
         self._admitted_at_ms.append(now_ms)
+
+    def _release(self, ticket: int) -> bool:
+        """Release the slot of a request, and return whether it had one."""
+        admitted = self._admitted.pop(ticket, None)
+        if admitted is None:
+            return False
+        self._shares.release(admitted.kind)
+        return True
--- /dev/null
+++ b/cicadawheel/gate/runs.py
@@ -0,0 +1,83 @@
+"""The requests in progress at a node's own upstream, and the calls that they make.
+
+While an upstream runs a request, it may call another service through its own node. If
+such a nested call fails, the work done for the outer request is lost.
+
+Does no I/O and reads no clock.
+"""
+
+import msgspec
+
+from cicadawheel.ids import RequestId
+from cicadawheel.messages import CallOpen
+
+RUN_ID_SEPARATOR = "."
+"""Separates the id of a run from the suffix in the ids of calls that it makes."""
+
+MIN_SPENT_MS = 1.0
+"""The least work that a nested call reports, as 0 means that it isn't nested."""
+
+
+class Run(msgspec.Struct, frozen=True):
+    """A request in progress.
+
+    ``target_at_ms`` is 0 if the target is unknown, and ``work_ms`` if the usual service
+    time is. ``outer_spent_ms`` is the work done for the requests above this one.
+    """
+
+    ticket: int
+    priority: int
+    target_at_ms: float
+    deadline_at_ms: float
+    sent_at_ms: float
+    work_ms: float
+    outer_spent_ms: float
+
+    def spent_ms(self, now_ms: float) -> float:
+        """Return the work that is lost if a call of this run fails.
+
+        Slowness of the VM and waits for earlier calls don't count as work.
+        """
+        passed_ms = now_ms - self.sent_at_ms
+        done_ms = min(passed_ms, self.work_ms or passed_ms)
+        return max(MIN_SPENT_MS, self.outer_spent_ms + done_ms)
+
+
+class Runs:
+    """The requests in progress at one upstream.
+
+    A call has the id of its run, or that id with a suffix.
+    """
+
+    def __init__(self):
+        self._by_request: dict[RequestId, Run] = {}
+        self._requests: dict[int, RequestId] = {}
+
+    def add(
+        self, ticket: int, call: CallOpen, deadline_at_ms: float, now_ms: float
+    ) -> None:
+        """Record a request that is sent to the upstream."""
+        received_at_ms = deadline_at_ms - call.deadline_ms
+        target_at_ms = received_at_ms + call.target_ms if call.target_ms else 0.0
+        self._requests[ticket] = call.request
+        self._by_request[call.request] = Run(
+            ticket,
+            call.priority,
+            target_at_ms,
+            deadline_at_ms,
+            now_ms,
+            call.work_ms,
+            call.spent_ms,
+        )
+
+    def end(self, ticket: int) -> None:
+        """Forget a request that has ended, if it was sent at all."""
+        request = self._requests.pop(ticket, None)
+        run = None if request is None else self._by_request.get(request)
+        if run is not None and run.ticket == ticket:
+            del self._by_request[request]
+
+    def outer(self, request: RequestId) -> Run | None:
+        """Return the run that makes a call, or None if the call isn't nested."""
+        run = request.rpartition(RUN_ID_SEPARATOR)[0]
+        return self._by_request.get(request) or self._by_request.get(run)
--- /dev/null
+++ b/test/test_competing_kinds.py
@@ -0,0 +1,172 @@
+"""Kinds of requests that compete for the slots of one upstream."""
+
+import heapq
+import itertools
+from collections import Counter
+from random import Random
+
+import msgspec
+import pytest
+
+from cicadawheel.entry.nested import TARGET_MISSED_MS, plan_nested
+from cicadawheel.entry.plan import CallPlan
+from cicadawheel.gate.decision import Result, SchedulingHints, Verdict
+from cicadawheel.gate.fair_share import RankedKind, SlotShares, fair_share
+from cicadawheel.gate.reported_admission import ReportedAdmission
+from cicadawheel.gate.runs import Runs
+from cicadawheel.messages import CallOpen
+
+SLOTS = 3
+SECONDS = 20.0
+TICK_INTERVAL_MS = 5.0
+SEEDS = range(6)
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """A kind of requests at one upstream."""
+
+    name: str
+    calls_per_s: float
+    work_ms: float
+    target_ms: float
+    deadline_ms: float
+    priority: int = 1
+    spent_ms: float = 0.0
+
+
+PREVIEW = Kind("preview", 2.6 * 10.0, 120.0, 435.0, 1_630.0)
+CONFIRM = Kind("confirm", 5.0, 160.0, 821.0, 2_052.0)
+STOCK = Kind("stock", 1.8 * 7.0, 48.0, 185.0, 985.0, priority=0)
+BOOK = Kind("book", 7.8, 84.0, 290.0, 1_391.0)
+CHECK = Kind("check", 30.0, 30.0, 136.0, 453.0, spent_ms=60.0)
+
+
+def play(kinds, seed):
+    """Play the kinds at one upstream; return how many of each ended in each way."""
+    draw = Random(seed)
+    admission = ReportedAdmission()
+    admission.upstream_started("b", SLOTS, 0.0)
+    tickets = itertools.count()
+    ends = {kind.name: Counter() for kind in kinds}
+    calls, events = {}, [(0.0, next(tickets), None, None)]
+
+    def apply(decisions, now_ms):
+        for decision in decisions:
+            kind, started_ms = calls[decision.ticket]
+            if decision.verdict is Verdict.ADMIT:
+                took_ms = kind.work_ms * draw.lognormvariate(0.0, 0.3)
+                event = (now_ms + took_ms, decision.ticket, kind, started_ms)
+                heapq.heappush(events, event)
+            elif decision.verdict is Verdict.REFUSE:
+                ends[kind.name]["refused"] += 1
+
+    for kind in kinds:
+        at_ms = 0.0
+        while (
+            at_ms := at_ms + draw.expovariate(kind.calls_per_s) * 1e3
+        ) < SECONDS * 1e3:
+            heapq.heappush(events, (at_ms, next(tickets), kind, None))
+    while events[0][0] < SECONDS * 1e3:
+        now_ms, ticket, kind, started_ms = heapq.heappop(events)
+        if kind is None:
+            heapq.heappush(events, (now_ms + TICK_INTERVAL_MS, ticket, None, None))
+            apply(admission.tick(now_ms), now_ms)
+        elif started_ms is None:
+            calls[ticket] = (kind, now_ms)
+            hints = SchedulingHints(
+                now_ms + kind.target_ms,
+                kind.priority,
+                kind.work_ms,
+                spent_ms=kind.spent_ms,
+            )
+            deadline_at_ms = now_ms + kind.deadline_ms
+            offered = admission.offer(
+                ticket, deadline_at_ms, now_ms, kind.name, hints=hints
+            )
+            apply([offered], now_ms)
+        else:
+            in_time = now_ms <= started_ms + kind.target_ms
+            ends[kind.name]["in time" if in_time else "late"] += 1
+            apply(admission.finish(ticket, Result.ANSWERED, now_ms), now_ms)
+    return ends
+
+
+def play_all(*kinds):
+    """Return how many of each kind ended in each way, over all seeds."""
+    total = {kind.name: Counter() for kind in kinds}
+    for seed in SEEDS:
+        for name, ends in play(kinds, seed).items():
+            total[name] += ends
+    return total
+
+
+def share(ends, end):
+    return ends[end] / ends.total()
+
+
+def test_burst_of_one_kind_leaves_the_others_in_target(monkeypatch):
+    def in_time_ms(ends):
+        return sum(k.work_ms * ends[k.name]["in time"] for k in (PREVIEW, CONFIRM))
+
+    ends = play_all(PREVIEW, CONFIRM)
+    monkeypatch.setattr(SlotShares, "kinds_at_share", lambda *_: frozenset())
+    before = play_all(PREVIEW, CONFIRM)
+    assert share(ends["confirm"], "in time") >= 0.9
+    assert share(before["confirm"], "in time") <= 0.6
+    assert in_time_ms(ends) >= in_time_ms(before)
+
+
+def test_nested_calls_are_answered_in_an_overload_beside_urgent_kinds():
+    def answered(ends):
+        return sum(one.total() - one["refused"] for one in ends.values())
+
+    ends = play_all(STOCK, BOOK, CHECK)
+    before = play_all(STOCK, BOOK, msgspec.structs.replace(CHECK, spent_ms=0.0))
+    assert share(ends["check"], "refused") <= share(before["check"], "refused") / 4
+    assert share(ends["stock"], "in time") >= 0.95
+    assert answered(ends) >= answered(before)
+
+
+@pytest.mark.parametrize(
+    ("asked_slots", "slots", "share"),
+    [([7, 1], 3, 2.0), ([6, 2], 3, 1.5), ([1, 1], 3, 1.0), ([9, 4, 1], 9, 4.0)],
+)
+def test_slots_that_a_kind_does_not_ask_for_go_to_the_others(asked_slots, slots, share):
+    assert fair_share(asked_slots, slots) == share
+
+
+def test_shares_hold_only_among_kinds_of_one_rank():
+    shares = SlotShares()
+    burst, other, urgent = (
+        RankedKind(rank, name) for rank, name in [(1, "a"), (1, "b"), (0, "c")]
+    )
+    for _ in range(SLOTS):
+        shares.take(burst)
+    assert shares.kinds_at_share([burst, urgent], SLOTS) == frozenset()
+    assert shares.kinds_at_share([burst, other], SLOTS) == {burst}
+    for _ in range(SLOTS):
+        shares.release(burst)
+    assert shares.kinds_at_share([burst, other], SLOTS) == frozenset()
+
+
+def make_plan(request):
+    fields = ("s", "route", "GET", "/check", True, 453.0, 1, "", 0.0)
+    return CallPlan(request, *fields, target_ms=136.0, priority=3)
+
+
+def test_nested_call_serves_its_outer_request():
+    fields = ("s", "", "GET", "/", (), b"", False, 1_000.0, 0, True, "f")
+    outer = CallOpen(0, "4f", *fields, target_ms=300.0, priority=1, work_ms=120.0)
+    runs = Runs()
+    runs.add(7, outer, 1_000.0, 50.0)
+    assert runs.outer("5e.1") is None
+    plan = plan_nested(make_plan("4f.1"), runs.outer("4f.1"), 230.0)
+    assert (plan.priority, plan.target_ms, plan.deadline_ms) == (1, 70.0, 453.0)
+    assert plan.spent_ms == 120.0
+    late = plan_nested(make_plan("4f.2"), runs.outer("4f.2"), 800.0)
+    assert (late.target_ms, late.deadline_ms) == (TARGET_MISSED_MS, 200.0)
+    runs.add(8, outer, 2_000.0, 900.0)
+    runs.end(7)
+    assert runs.outer("4f.1").ticket == 8
+    runs.end(8)
+    assert runs.outer("4f.1") is None
