Repeats that save the work of an outer request may use the whole retry budget

Cause: where upstreams refuse much, repeats take the budget of a service first come, first served. Callers who could come back themselves took it from nested calls, which nobody else repeats and whose failure throws away the work of their outer request.

Change: while nested calls ask for repeats, other repeats may use a part only (gate/repeat_need.py): nested calls with less work behind them than usual 0.85, callers' requests that failed 0.75, those that were refused 0.5, hedges 0.25. Without repeats of nested calls all is as before.

--- a/cicadawheel/gate/repeats.py
+++ b/cicadawheel/gate/repeats.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cicadawheel.gate.repeat_budget import RepeatBudget, RepeatBudgetReport
+from cicadawheel.gate.repeat_need import RepeatNeed, RepeatNeeds
 from cicadawheel.gate.runs import RUN_ID_SEPARATOR, Runs
 from cicadawheel.ids import RequestId, ServiceName
 from cicadawheel.logs import log_event
@@ -18,10 +19,6 @@
 RUN_RETENTION_MS = 1_000.0
 """How long a run is kept past its deadline, as an upstream may end it late."""
 
-HEDGE_PART = 0.75
-"""The share of the budget for repeats beside a send that still runs (hedges); the rest
-is kept for requests that failed or were refused."""
-
 SENT = "sent"
 REFUSED = "refused"
 
@@ -66,6 +63,7 @@
         self.budget: RepeatBudget | None = None
         self.count: CountRepeat = _discard_count
         self.runs = Runs()
+        self._needs = RepeatNeeds()
         self._runs = RepeatedRuns()
         self._reserved: set[int] = set()
         self._service = ServiceName("")
@@ -82,10 +80,12 @@
 
     def offer(self, ticket: int, call: CallOpen) -> bool:
         """Reserve budget if a request is a repeat; return whether it may be sent."""
+        now_ms = self.clock.now_ms()
+        self._needs.received(call, now_ms)
         if self.budget is None or call.repeat is Repeat.FIRST:
             return True
-        part = HEDGE_PART if call.repeat is Repeat.SPARE else 1.0
-        if self.budget.reserve(self.clock.now_ms(), part):
+        part = self._needs.part(self._needs.need(call), now_ms)
+        if self.budget.reserve(now_ms, part):
             self._reserved.add(ticket)
             return True
         self.count(call.service, call.repeat, REFUSED)
@@ -119,8 +119,12 @@
         return self._runs.contains(request)
 
     def may_repeat(self) -> bool:
-        """Return whether the budget has room for one more repeat."""
-        return self.budget is None or self.budget.allows(self.clock.now_ms())
+        """Return whether the budget has room to repeat a request of a caller."""
+        if self.budget is None:
+            return True
+        now_ms = self.clock.now_ms()
+        part = self._needs.part(RepeatNeed.REFUSED, now_ms)
+        return self.budget.allows(now_ms, part)
 
     def report(self) -> RepeatBudgetReport | None:
         """Return the state of the budget for operators, or None without a budget."""
@@ -135,6 +139,8 @@
             "request": call.request,
             "service": call.service,
             "cause": call.repeat.value,
+            "need": self._needs.need(call).value,
+            "spent_ms": call.spent_ms,
             **known,
         }
 
--- a/test/test_repeat_budget.py
+++ b/test/test_repeat_budget.py
@@ -10,7 +10,8 @@
     VIEW_PROPAGATION_MS,
     RepeatBudget,
 )
-from cicadawheel.gate.repeats import HEDGE_PART, GateRepeats, RepeatedRuns
+from cicadawheel.gate.repeat_need import HEDGE_PART
+from cicadawheel.gate.repeats import GateRepeats, RepeatedRuns
 from cicadawheel.messages import CallOpen, Repeat
 
 SHARE = 0.2
