A connection with requests ahead ends without a reset

Cause: closing a socket with bytes that nobody has read resets it, and the caller can lose the last answer (RFC 9112, 9.6). A caller that sends ahead often has requests on the way when the connection ends.

Connections without requests ahead close as before.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server connections for callers, which may send requests ahead."""
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections import deque
@@ -59,6 +60,7 @@
     IDLE = "idle"
     IN_CALL = "in call"
     LINGERING = "lingering"
+    ENDING = "ending"
     CLOSED = "closed"
 
 
@@ -98,6 +100,7 @@
         self._requests: deque[CallerRequest] = deque()
         """The requests whose answers haven't been sent whole, in their order."""
         self._order = RunOrder(ahead)
+        self._sends_ahead = False
         self._transport: asyncio.Transport | None = None
         self._processing_events = False
 
@@ -112,6 +115,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and handle the resulting events."""
+        if self.state is ConnectionState.ENDING:
+            return
         self._http.receive_data(data)
         if self.state is ConnectionState.LINGERING:
             self._discard_body()
@@ -123,7 +128,7 @@
         """Close the connection if it has exceeded a head, idle or linger timeout."""
         if self._transport is None:
             return
-        if self.state is ConnectionState.LINGERING:
+        if self.state in (ConnectionState.LINGERING, ConnectionState.ENDING):
             if now_s - self._idle_since_s > LINGER_TIMEOUT_S:
                 self._transport.close()
             return
@@ -287,7 +292,7 @@
             self._linger(first)
             return False
         if first.closes:
-            self._transport.close()
+            self._end()
             return False
         if first.http is self._http:
             self._http.start_next_cycle()
@@ -315,7 +320,9 @@
             self._add_request(None).refuse(status, reason)
 
     def _add_request(self, head: RequestHead | None) -> CallerRequest:
-        request = CallerRequest(self, self._http, head, bool(self._requests))
+        ahead = bool(self._requests)
+        self._sends_ahead = self._sends_ahead or ahead
+        request = CallerRequest(self, self._http, head, ahead)
         self._requests.append(request)
         return request
 
@@ -332,12 +339,29 @@
         The connection closes when the body ends, or after `LINGER_TIMEOUT_S`.
         """
         if last.http.their_state is not h11.SEND_BODY:
-            self._transport.close()
+            self._end()
             return
         self.state = ConnectionState.LINGERING
         self._idle_since_s = asyncio.get_running_loop().time()
         self._transport.resume_reading()
 
+    def _end(self) -> None:
+        """Close the connection after its last answer.
+
+        If its caller sends ahead, requests may be on the way. They would reset a closed
+        socket, and the caller could lose the answer, so the caller closes first or
+        `LINGER_TIMEOUT_S` passes.
+        """
+        if not self._sends_ahead:
+            self._transport.close()
+            return
+        self.state = ConnectionState.ENDING
+        self._idle_since_s = asyncio.get_running_loop().time()
+        # Fails if the caller has reset the connection, which is noticed next.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        self._transport.resume_reading()
+
     def _discard_body(self) -> None:
         discard_body(self._http)
         if self._http.their_state is not h11.SEND_BODY:
