An outer request whose calls are refused for the budget isn't run once more

Change: the node of a run remembers the kinds whose calls were refused because the budget is spent, for 2 s, and its gate refuses to run failed requests of the kind again.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -285,6 +285,8 @@
     ) -> Answer:
         """Return the entry's own answer to a call that got none from an upstream."""
         delay_ms = 0.0
+        if reason is RefusalReason.RETRY_BUDGET and plan.spent_ms:
+            self.gate.repeats.runs.call_refused(plan.request, self.clock.now_ms())
         if not_run and self.dialect.seal:
             wait_ms = self.router.shortest_wait_ms(
                 plan.service, self._profile(plan), plan.target_ms
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -18,6 +18,7 @@
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.reported_admission import ReportedAdmission
+from cicadawheel.gate.runs import request_kind
 from cicadawheel.http.dialect import Dialect
 from cicadawheel.http.fields import (
     ResponseHead,
@@ -431,9 +432,3 @@
         self.gate.call_ended(
             self, result if self._admitted else None, self._service_time_ms
         )
-
-
-def request_kind(method: str, target: str) -> str:
-    """Return the method and first path segment, the key of service time statistics."""
-    path = target.partition("?")[0]
-    return f"{method} {path.split('/', 2)[1] if '/' in path else path}"
--- a/cicadawheel/gate/repeats.py
+++ b/cicadawheel/gate/repeats.py
@@ -8,7 +8,7 @@
 
 from cicadawheel.gate.repeat_budget import RepeatBudget, RepeatBudgetReport
 from cicadawheel.gate.repeat_need import RepeatNeed, RepeatNeeds
-from cicadawheel.gate.runs import RUN_ID_SEPARATOR, Runs
+from cicadawheel.gate.runs import RUN_ID_SEPARATOR, Runs, request_kind
 from cicadawheel.ids import RequestId, ServiceName
 from cicadawheel.logs import log_event
 from cicadawheel.messages import CallOpen, Repeat
@@ -85,13 +85,20 @@
         if self.budget is None or call.repeat is Repeat.FIRST:
             return True
         part = self._needs.part(self._needs.need(call), now_ms)
-        if self.budget.reserve(now_ms, part):
+        if not self._is_in_vain(call, now_ms) and self.budget.reserve(now_ms, part):
             self._reserved.add(ticket)
             return True
         self.count(call.service, call.repeat, REFUSED)
         log_event(log, "repeat_refused", **self._fields(call))
         return False
 
+    def _is_in_vain(self, call: CallOpen, now_ms: float) -> bool:
+        """Return whether another run would fail, as its calls would be refused."""
+        if call.repeat not in (Repeat.FAILED, Repeat.SPARE):
+            return False
+        kind = request_kind(call.method, call.target)
+        return self.runs.are_calls_refused(kind, now_ms)
+
     def sent(self, ticket: int, call: CallOpen, expires_at_ms: float) -> None:
         """Charge a request that is sent to the upstream."""
         now_ms = self.clock.now_ms()
--- a/cicadawheel/gate/runs.py
+++ b/cicadawheel/gate/runs.py
@@ -18,6 +18,18 @@
 """The least work that a nested call reports, as 0 means that it isn't nested."""
 
 
+CALLS_REFUSED_MS = 2_000.0
+"""For how long a kind isn't run once more after calls of its runs were refused because
+the retry budget of their service is spent: the calls of a repeat would be charged too.
+Budget comes back in the course of its window, which is several times as long."""
+
+
+def request_kind(method: str, target: str) -> str:
+    """Return the method and first path segment, the key of service time statistics."""
+    path = target.partition("?")[0]
+    return f"{method} {path.split('/', 2)[1] if '/' in path else path}"
+
+
 class Run(msgspec.Struct, frozen=True):
     """A request in progress.
 
@@ -32,6 +44,7 @@
     sent_at_ms: float
     work_ms: float
     outer_spent_ms: float
+    kind: str
 
     def spent_ms(self, now_ms: float) -> float:
         """Return the work that is lost if a call of this run fails.
@@ -52,6 +65,7 @@
     def __init__(self):
         self._by_request: dict[RequestId, Run] = {}
         self._requests: dict[int, RequestId] = {}
+        self._calls_refused_at_ms: dict[str, float] = {}
 
     def add(
         self, ticket: int, call: CallOpen, deadline_at_ms: float, now_ms: float
@@ -68,6 +82,7 @@
             now_ms,
             call.work_ms,
             call.spent_ms,
+            request_kind(call.method, call.target),
         )
 
     def end(self, ticket: int) -> None:
@@ -81,3 +96,19 @@
         """Return the run that makes a call, or None if the call isn't nested."""
         run = request.rpartition(RUN_ID_SEPARATOR)[0]
         return self._by_request.get(request) or self._by_request.get(run)
+
+    def call_refused(self, request: RequestId, now_ms: float) -> None:
+        """Record that a call was refused because the retry budget is spent."""
+        run = self.outer(request)
+        if run is None:
+            return
+        since_ms = now_ms - CALLS_REFUSED_MS
+        refused = self._calls_refused_at_ms
+        for kind in [one for one, at_ms in refused.items() if at_ms <= since_ms]:
+            del refused[kind]
+        refused[run.kind] = now_ms
+
+    def are_calls_refused(self, kind: str, now_ms: float) -> bool:
+        """Return whether the calls of another run of a kind would be refused too."""
+        at_ms = self._calls_refused_at_ms.get(kind)
+        return at_ms is not None and now_ms - at_ms < CALLS_REFUSED_MS
--- a/test/test_repeat_needs.py
+++ b/test/test_repeat_needs.py
@@ -15,9 +15,10 @@
 from cicadawheel.gate.repeat_budget import RepeatBudget
 from cicadawheel.gate.repeat_need import PART_OF_NEED, RepeatNeed, RepeatNeeds
 from cicadawheel.gate.repeats import GateRepeats
+from cicadawheel.gate.runs import CALLS_REFUSED_MS
 from cicadawheel.messages import CallOpen, Repeat
 
-GATES = 18
+GATES, OUTER_GATES = 18, 52
 SHARE, SLACK, WINDOW_MS = 0.2, 180.0, 10_000.0
 OUTER_PER_S, DIRECT_PER_S = 155.0, 105.0
 CALLING_SHARE = 0.7
@@ -27,26 +28,30 @@
 REFUSING_MS, ENDS_MS = (10_000.0, 18_000.0), 20_000.0
 
 
-def make_call(spent_ms, repeat=Repeat.REFUSED):
+def make_call(spent_ms, repeat=Repeat.REFUSED, request="r"):
     fields = ("s", "", "GET", "/", (), b"", False, 450.0, 0, True, "f")
-    return CallOpen(0, "r", *fields, repeat=repeat, spent_ms=spent_ms)
+    return CallOpen(0, request, *fields, repeat=repeat, spent_ms=spent_ms)
 
 
 class InnerService:
-    """Plays the load; ``tells_spent`` is False for the untouched rule."""
+    """Plays the load; ``knows_nested`` is False for the untouched rule."""
 
-    def __init__(self, seed, refused_share, tells_spent):
+    def __init__(self, seed, refused_share, knows_nested):
         self.draw = Random(seed)
         self.refused_share = refused_share
-        self.tells_spent = tells_spent
+        self.knows_nested = knows_nested
         self.time_ms = 0.0
         self.numbers = itertools.count()
         self.events = []
         self.ends = Counter()
-        self.gates = [GateRepeats(self) for _ in range(GATES)]
-        for gate in self.gates:
-            gate.budget = RepeatBudget(SHARE, SLACK, WINDOW_MS, -1e6)
-            gate.share_with("s", GATES)
+        self.gates = [self.make_gate(GATES) for _ in range(GATES)]
+        self.outer_gates = [self.make_gate(OUTER_GATES) for _ in range(OUTER_GATES)]
+
+    def make_gate(self, count):
+        gate = GateRepeats(self)
+        gate.budget = RepeatBudget(SHARE, SLACK, WINDOW_MS, -1e6)
+        gate.share_with("s", count)
+        return gate
 
     def now_ms(self):
         return self.time_ms
@@ -68,22 +73,48 @@
             action(*arguments)
         return self.ends
 
-    def outer(self, comes_back):
-        def lost():
+    def outer(self, comes_back, repeat=Repeat.FIRST, calls=None):
+        """Run an outer request, and once more elsewhere if it is lost."""
+        if calls is None:
+            calls = self.draw.random() < CALLING_SHARE
+        call = make_call(0.0, repeat, f"o{next(self.numbers)}")
+        gates = self.draw.sample(self.outer_gates, DISPATCH_LIMIT)
+        ticket = next(self.numbers)
+        gate = next((one for one in gates if one.offer(ticket, call)), None)
+        if gate is None:
+            self.give_up(comes_back, calls)
+            return
+        gate.sent(ticket, call, self.time_ms + 1_500.0)
+        self.ends["runs"] += 1
+
+        def end(served):
+            gate.ended(ticket)
+            if served:
+                self.ends["served"] += 1
+                return
             self.ends["lost after running"] += 1
-            if comes_back:
-                self.after(COMEBACK_MS, self.outer, False)
+            if repeat is Repeat.FIRST:
+                self.outer(comes_back, Repeat.FAILED, calls)
+            else:
+                self.give_up(comes_back, calls)
 
-        def served():
-            self.ends["served"] += 1
+        def refused():
+            if self.knows_nested:
+                gate.runs.call_refused(f"{call.request}.1", self.time_ms)
+            end(False)
 
-        def call_again():
-            self.after(STEP_MS, self.send, 2 * STEP_MS, served, lost)
+        def inner(spent_ms, answered):
+            first = Repeat.FIRST if repeat is Repeat.FIRST else Repeat.WITHIN
+            self.after(STEP_MS, self.send, spent_ms, answered, refused, first)
 
-        if self.draw.random() < CALLING_SHARE:
-            self.after(STEP_MS, self.send, STEP_MS, call_again, lost)
+        if calls:
+            inner(STEP_MS, lambda: inner(2 * STEP_MS, lambda: end(True)))
         else:
-            served()
+            end(True)
+
+    def give_up(self, comes_back, calls):
+        if comes_back:
+            self.after(COMEBACK_MS, self.outer, False, Repeat.FIRST, calls)
 
     def direct(self, comes_back):
         def refused():
@@ -97,13 +128,13 @@
 
         self.send(0.0, served, refused)
 
-    def send(self, spent_ms, answered, refused, attempts=0):
+    def send(self, spent_ms, answered, refused, first=Repeat.FIRST, attempts=0):
         """Send a request as an entry does, and repeat it while that is allowed."""
-        spent_ms = spent_ms if self.tells_spent else 0.0
-        repeat = Repeat.REFUSED if attempts else Repeat.FIRST
+        spent_ms = spent_ms if self.knows_nested else 0.0
+        repeat = Repeat.REFUSED if attempts and first is Repeat.FIRST else first
         call = make_call(spent_ms, repeat)
         gates = self.draw.sample(self.gates, DISPATCH_LIMIT - attempts)
-        if attempts and not spent_ms:
+        if repeat is not Repeat.FIRST and not spent_ms:
             gates = [gate for gate in gates if gate.may_repeat()]
         ticket = next(self.numbers)
         gate = next((one for one in gates if one.offer(ticket, call)), None)
@@ -116,26 +147,38 @@
         if not refusing or self.draw.random() >= self.refused_share:
             answered()
         elif attempts + 1 < ATTEMPTS:
-            self.after(RETRY_MS, self.send, spent_ms, answered, refused, attempts + 1)
+            again = (spent_ms, answered, refused, first, attempts + 1)
+            self.after(RETRY_MS, self.send, *again)
         else:
             refused()
 
 
-def play(refused_share, tells_spent):
+def play(refused_share, knows_nested):
     ends = Counter()
     for seed in (1, 2):
-        ends += InnerService(seed, refused_share, tells_spent).run()
+        ends += InnerService(seed, refused_share, knows_nested).run()
     return ends
 
 
 @pytest.mark.parametrize("refused_share", [0.25, 0.5])
 def test_fewer_outer_requests_are_lost_and_as_many_served(refused_share):
-    ends = play(refused_share, tells_spent=True)
-    before = play(refused_share, tells_spent=False)
+    ends = play(refused_share, knows_nested=True)
+    before = play(refused_share, knows_nested=False)
     assert ends["lost after running"] < before["lost after running"]
     assert ends["served"] >= before["served"]
 
 
+def test_kind_whose_calls_are_refused_is_not_run_again():
+    service = InnerService(1, 0.0, True)
+    gate = service.outer_gates[0]
+    gate.sent(1, make_call(0.0, Repeat.FIRST), 1_500.0)
+    gate.runs.call_refused("r.1", 0.0)
+    assert not gate.offer(2, make_call(0.0, Repeat.FAILED))
+    assert gate.offer(3, make_call(0.0, Repeat.REFUSED))
+    service.time_ms = CALLS_REFUSED_MS
+    assert gate.offer(4, make_call(0.0, Repeat.FAILED))
+
+
 def test_parts_are_kept_only_while_nested_calls_need_repeats():
     needs = RepeatNeeds()
     needs.received(make_call(90.0, Repeat.FIRST), 0.0)
