Repeats of a higher priority than the nested calls are never limited to a part

Lookups have a higher priority than the outer requests, and entries refused all callers as soon as no gate had room in the smaller part.

Change: parts bind only requests whose priority isn't above that of the nested calls that ask for repeats. Callers' parts are 0.85 (failed) and 0.75 (refused), nested calls with little work 0.9.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -218,7 +218,7 @@
 
     def _pick(self) -> Pick | None:
         avoided = self._attempts.tried
-        if self._is_callers_repeat():
+        if self._repeat_kind() is not Repeat.FIRST:
             avoided = avoided | self.entry.repeats.nodes_over_budget(self.plan.service)
         # To queue at a gate that was busy may be better than any other gate.
         avoided = avoided - self._attempts.busy
@@ -276,14 +276,10 @@
 
     def _is_over_budget(self) -> bool:
         """Return whether the next attempt is a repeat which every gate would refuse."""
-        if self._only_at or not self._is_callers_repeat():
+        if self._only_at or self._repeat_kind() is Repeat.FIRST:
             return False
         return self.entry.repeats.is_over_budget(self.plan.service)
 
-    def _is_callers_repeat(self) -> bool:
-        """Return whether the next attempt repeats a request that isn't nested."""
-        return self._repeat_kind() is not Repeat.FIRST and not self.plan.spent_ms
-
     def _make_open(self, version: VersionName, immediate: bool) -> CallOpen:
         left_ms = self.deadline_at_ms - self.entry.clock.now_ms()
         margin_ms = min(GATE_MARGIN_MS, left_ms * GATE_MARGIN_SHARE)
--- a/cicadawheel/gate/repeat_need.py
+++ b/cicadawheel/gate/repeat_need.py
@@ -7,7 +7,6 @@
 Does no I/O and reads no clock.
 """
 
-import math
 from enum import Enum
 
 from cicadawheel.messages import CallOpen, Repeat
@@ -22,15 +21,15 @@
 SHARED_HEDGE_PART = 0.25
 """The part for hedges while nested calls need repeats: nothing is lost without them."""
 
-REFUSED_PART = 0.5
+REFUSED_PART = 0.75
 """The part for callers' requests that weren't run: their callers are told when to come
 back."""
 
-FAILED_PART = 0.75
+FAILED_PART = 0.85
 """The part for callers' requests that may have run: their callers get an error, and
 only some send them again."""
 
-LITTLE_SPENT_PART = 0.85
+LITTLE_SPENT_PART = 0.9
 """The part for nested calls whose outer requests have less work behind them than usual:
 these have further calls to make, each of which may fail."""
 
@@ -60,19 +59,20 @@
 class RepeatNeeds:
     """Ranks the repeats at one gate.
 
-    Until a nested call asks for a repeat, only hedges are limited to a part.
+    Until a nested call asks for a repeat, only hedges are limited to a part, and
+    requests of a higher priority than any such call never are.
     """
 
     def __init__(self):
         self._usual_spent_ms = 0.0
-        self._nested_until_ms = -math.inf
+        self._nested_until_ms: dict[int, float] = {}
 
     def received(self, call: CallOpen, now_ms: float) -> None:
         """Record a request, before its part is asked for."""
         if not call.spent_ms:
             return
         if call.repeat is not Repeat.FIRST:
-            self._nested_until_ms = now_ms + NESTED_ASK_MS
+            self._nested_until_ms[call.priority] = now_ms + NESTED_ASK_MS
         gap_ms = call.spent_ms - self._usual_spent_ms
         self._usual_spent_ms += SPENT_SAMPLE_WEIGHT * gap_ms
 
@@ -87,8 +87,12 @@
             return RepeatNeed.REFUSED
         return RepeatNeed.FAILED
 
-    def part(self, need: RepeatNeed, now_ms: float) -> float:
+    def part(self, call: CallOpen, now_ms: float) -> float:
         """Return the part of the budget that a repeat may use."""
-        if now_ms < self._nested_until_ms:
+        need = self.need(call)
+        if any(
+            now_ms < until_ms and priority <= call.priority
+            for priority, until_ms in self._nested_until_ms.items()
+        ):
             return PART_OF_NEED[need]
         return HEDGE_PART if need is RepeatNeed.HEDGE else 1.0
--- a/cicadawheel/gate/repeats.py
+++ b/cicadawheel/gate/repeats.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from cicadawheel.gate.repeat_budget import RepeatBudget, RepeatBudgetReport
-from cicadawheel.gate.repeat_need import RepeatNeed, RepeatNeeds
+from cicadawheel.gate.repeat_need import RepeatNeeds
 from cicadawheel.gate.runs import RUN_ID_SEPARATOR, Runs, request_kind
 from cicadawheel.ids import RequestId, ServiceName
 from cicadawheel.logs import log_event
@@ -84,7 +84,7 @@
         self._needs.received(call, now_ms)
         if self.budget is None or call.repeat is Repeat.FIRST:
             return True
-        part = self._needs.part(self._needs.need(call), now_ms)
+        part = self._needs.part(call, now_ms)
         if not self._is_in_vain(call, now_ms) and self.budget.reserve(now_ms, part):
             self._reserved.add(ticket)
             return True
@@ -126,12 +126,8 @@
         return self._runs.contains(request)
 
     def may_repeat(self) -> bool:
-        """Return whether the budget has room to repeat a request of a caller."""
-        if self.budget is None:
-            return True
-        now_ms = self.clock.now_ms()
-        part = self._needs.part(RepeatNeed.REFUSED, now_ms)
-        return self.budget.allows(now_ms, part)
+        """Return whether the budget has room for one more repeat."""
+        return self.budget is None or self.budget.allows(self.clock.now_ms())
 
     def report(self) -> RepeatBudgetReport | None:
         """Return the state of the budget for operators, or None without a budget."""
--- a/cicadawheel/messages.py
+++ b/cicadawheel/messages.py
@@ -32,8 +32,7 @@
     1.0 when the upstream is warm. ``boot`` changes when the upstream restarts.
     ``slowness`` is the current service time relative to the usual one, if the
     upstream reports it; ``service_time_ms`` is then the time at the usual speed.
-    ``may_repeat`` is true if the gate's repeat budget has room to repeat a request of a
-    caller.
+    ``may_repeat`` is true if the gate's repeat budget has room for a repeat.
     ``failure_share`` is the share of recent requests that the upstream has failed,
     ``shed_share`` the share that it has declined to run. ``link_use`` is the fraction
     of the VM's link that its traffic takes up.
--- a/test/test_repeat_needs.py
+++ b/test/test_repeat_needs.py
@@ -10,6 +10,7 @@
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from cicadawheel.entry.retry import DISPATCH_LIMIT
 from cicadawheel.gate.repeat_budget import RepeatBudget
@@ -30,7 +31,7 @@
 
 def make_call(spent_ms, repeat=Repeat.REFUSED, request="r"):
     fields = ("s", "", "GET", "/", (), b"", False, 450.0, 0, True, "f")
-    return CallOpen(0, request, *fields, repeat=repeat, spent_ms=spent_ms)
+    return CallOpen(0, request, *fields, repeat=repeat, spent_ms=spent_ms, priority=1)
 
 
 class InnerService:
@@ -134,7 +135,7 @@
         repeat = Repeat.REFUSED if attempts and first is Repeat.FIRST else first
         call = make_call(spent_ms, repeat)
         gates = self.draw.sample(self.gates, DISPATCH_LIMIT - attempts)
-        if repeat is not Repeat.FIRST and not spent_ms:
+        if repeat is not Repeat.FIRST:
             gates = [gate for gate in gates if gate.may_repeat()]
         ticket = next(self.numbers)
         gate = next((one for one in gates if one.offer(ticket, call)), None)
@@ -182,10 +183,12 @@
 def test_parts_are_kept_only_while_nested_calls_need_repeats():
     needs = RepeatNeeds()
     needs.received(make_call(90.0, Repeat.FIRST), 0.0)
-    assert needs.part(RepeatNeed.REFUSED, 0.0) == 1.0
+    refused, urgent = make_call(0.0), replace(make_call(0.0), priority=0)
+    assert needs.part(refused, 0.0) == 1.0
     needs.received(make_call(90.0), 0.0)
-    assert needs.part(RepeatNeed.REFUSED, 1.0) == PART_OF_NEED[RepeatNeed.REFUSED]
-    assert needs.part(RepeatNeed.REFUSED, 60_000.0) == 1.0
+    assert needs.part(refused, 1.0) == PART_OF_NEED[RepeatNeed.REFUSED]
+    assert needs.part(urgent, 1.0) == 1.0
+    assert needs.part(refused, 60_000.0) == 1.0
 
 
 def test_repeat_that_saves_more_work_is_more_urgent():
