Calls are placed by the usual size of their route's answers

Cause: the cost of bytes between data centres counted 2 KiB for every answer. Answers of 5 and 90 KB left the data centre for gains of a few ms.

Change: an entry averages the bytes relayed of good, complete answers by route; they replace the constant. 2 KiB stay the least that a call counts, as the messages around a small answer take that, so that small answers leave their data centre no more often than before.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -152,6 +152,11 @@
         else:
             self._refuse(RefusalReason.LEAVING)
 
+    @property
+    def relayed_bytes(self) -> int:
+        """The bytes of the upstream's answer that were sent to the caller."""
+        return self._reply.relayed_bytes
+
     def caller_writable(self) -> None:
         """Grant the gate credit for more of the answer."""
         self._reply.caller_writable()
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -12,6 +12,7 @@
     answer_fault,
     answer_refusal,
 )
+from cicadawheel.entry.answer_size import AnswerSizes
 from cicadawheel.entry.call import EntryCall
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.latency import Latencies
@@ -72,6 +73,7 @@
     router: RouterReport
     retry_budgets: list[RetryBudgetReport]
     quarantined: list[Fingerprint]
+    answer_bytes: dict[str, float]
 
 
 class Entry:
@@ -132,6 +134,7 @@
         self.caller_service = ServiceName("")
         self.repeats = Repeats(settings, router, clock)
         self.work_times = WorkTimes()
+        self.answer_sizes = AnswerSizes()
         self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
         self.probe_limiter = ProbeLimiter()
@@ -416,7 +419,10 @@
         reserve = self._reserves.get(plan.service)
         usable_part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
         return CallProfile(
-            self.work_times.usual_ms(plan.route), body_bytes, usable_part
+            self.work_times.usual_ms(plan.route),
+            body_bytes,
+            usable_part,
+            self.answer_sizes.usual_bytes(plan.route),
         )
 
     def consider_hedges(self, now_ms: float) -> None:
@@ -453,6 +459,8 @@
         """Deregister a call and count how it ended."""
         self.calls.discard(call)
         self.metrics.count_call(call.plan.service, end)
+        if end is CallEnd.ANSWERED and call.status < FIRST_SERVER_ERROR:
+            self.answer_sizes.add(call.plan.route, call.relayed_bytes)
         if not self.calls:
             self.idle.set()
 
@@ -482,4 +490,5 @@
             router=self.router.report(self.clock.now_ms()),
             retry_budgets=self.repeats.report(),
             quarantined=sorted(self.quarantined),
+            answer_bytes=self.answer_sizes.report(),
         )
--- a/cicadawheel/entry/owner.py
+++ b/cicadawheel/entry/owner.py
@@ -38,6 +38,8 @@
     """A call that has ended."""
 
     plan: CallPlan
+    status: int
+    relayed_bytes: int
 
 
 class CallOwner(Gates, Protocol):
--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from cicadawheel.entry.answer_size import INITIAL_ANSWER_BYTES
 from cicadawheel.entry.candidate import Candidate
 from cicadawheel.entry.group import Group, Usable
 from cicadawheel.slowness import remaining_ms
@@ -25,6 +26,8 @@
 MAX_SAMPLED_SLOWNESS = 1.5
 """Answers from slower VMs say little about the usual time and are not averaged."""
 
+BYTES_PER_KIB = 1_024
+
 HOP_MS = 1.0
 """The cost of a hop to another node, in addition to the distance."""
 
@@ -34,8 +37,8 @@
 REMOTE_MS_PER_KIB = 6.0
 """The cost of a KiB between data centres, as time: such traffic is charged for."""
 
-ANSWER_KIB = 2.0
-"""The usual size of a request's head and its answer."""
+CALL_BYTES = 2_048.0
+"""The least that a call and its answer count, with the messages around them."""
 
 FULL_LOAD_DELAY = 0.35
 """The fraction by which a call takes longer when all slots are taken."""
@@ -55,11 +58,13 @@
     """The properties of a call by which it is placed.
 
     ``usable_part`` is the fraction of an upstream's slots that its priority may use.
+    ``answer_bytes`` is the usual size of an answer.
     """
 
     work_ms: float = INITIAL_WORK_MS
     body_bytes: int = 0
     usable_part: float = 1.0
+    answer_bytes: float = INITIAL_ANSWER_BYTES
 
 
 DEFAULT_PROFILE = CallProfile()
@@ -104,8 +109,9 @@
         return cost_ms
     cost_ms += HOP_MS
     if distance_ms:
-        size_kib = profile.body_bytes / 1_024 + ANSWER_KIB
-        cost_ms += ONE_WAY_TRIPS * distance_ms + size_kib * REMOTE_MS_PER_KIB
+        size_bytes = profile.body_bytes + max(CALL_BYTES, profile.answer_bytes)
+        cost_ms += ONE_WAY_TRIPS * distance_ms
+        cost_ms += size_bytes / BYTES_PER_KIB * REMOTE_MS_PER_KIB
     return cost_ms
 
 
--- a/cicadawheel/entry/reply.py
+++ b/cicadawheel/entry/reply.py
@@ -4,6 +4,7 @@
 
 from cicadawheel.control.state.claims import ANSWER_LIMIT_BYTES
 from cicadawheel.entry.answer import Answer
+from cicadawheel.entry.answer_size import HEADER_SEPARATORS_BYTES
 from cicadawheel.http.caller import CallerConnection
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.ids import RequestId
@@ -35,6 +36,7 @@
         self.connection = connection
         self.request = request
         self.dialect = dialect
+        self.relayed_bytes = 0
         self._give_credit = give_credit
         self._head: ReplyHead | None = None
         self._copy = bytearray()
@@ -42,11 +44,13 @@
 
     def send_complete(self, head: ReplyHead) -> None:
         """Send an answer whose head includes the complete body."""
+        self.relayed_bytes += _head_bytes(head) + len(head.body)
         self.connection.respond(head.status, self._headers(head), head.body)
 
     def start(self, head: ReplyHead) -> None:
         """Send the head of an answer whose body follows in chunks."""
         self._head = head
+        self.relayed_bytes += _head_bytes(head)
         self.connection.start_response(head.status, self._headers(head))
 
     def send(self, data: bytes, keep: bool) -> None:
@@ -55,6 +59,7 @@
             room_bytes = ANSWER_LIMIT_BYTES + 1 - len(self._copy)
             self._copy += data[:room_bytes]
         self.connection.send_body(data)
+        self.relayed_bytes += len(data)
         self._uncredited_bytes += len(data)
         self.caller_writable()
 
@@ -78,3 +83,10 @@
         if any(header.name == name for header in head.headers):
             return head.headers
         return (*head.headers, Header(name, self.request.encode()))
+
+
+def _head_bytes(head: ReplyHead) -> int:
+    return sum(
+        len(header.name) + len(header.value) + HEADER_SEPARATORS_BYTES
+        for header in head.headers
+    )
