Large answers avoid busy links of VMs

Cause: VMs have links of 2.8 or 5 Mbit/s; an answer of 90 KB takes 144 ms on an idle one and crosses two if it is forwarded. Nothing knew of links.

Change: [node] link_mbps is the rate of the VM's link, from the platform's limits; 0 is unknown, and all is as before. A node measures the use of the busier direction with a half-life of 500 ms and tells it in its load reports, which are pushed at a step of 0.3 only. The time of an answer from 16 KiB on is added to its cost at other nodes, by the busier of both links.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -26,6 +26,7 @@
 from cicadawheel.entry.retry_after import retry_after_ms
 from cicadawheel.entry.router import Router, RouterReport
 from cicadawheel.entry.routes import RouteTable
+from cicadawheel.entry.transfer import LinkMeter
 from cicadawheel.entry.versions import Pick, Versions
 from cicadawheel.gate.gate import Gate
 from cicadawheel.http.caller import CallerConnection
@@ -103,6 +104,8 @@
         Selects the version of a service for each call.
     dialect : Dialect
         The header fields that callers and upstreams use.
+    link_mbps : float
+        The rate of this VM's link, 0 if it is unknown.
     """
 
     def __init__(
@@ -118,6 +121,7 @@
         metrics: NodeMetrics,
         versions: Versions,
         dialect: Dialect = OWN_DIALECT,
+        link_mbps: float = 0.0,
     ):
         self.node = node
         self.settings = settings
@@ -135,6 +139,8 @@
         self.repeats = Repeats(settings, router, clock)
         self.work_times = WorkTimes()
         self.answer_sizes = AnswerSizes()
+        self.link = LinkMeter(link_mbps)
+        self.relayed_bytes = 0
         self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
         self.probe_limiter = ProbeLimiter()
@@ -418,11 +424,14 @@
     def _profile(self, plan: CallPlan, body_bytes: int = 0) -> CallProfile:
         reserve = self._reserves.get(plan.service)
         usable_part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
+        answer_bytes = self.answer_sizes.usual_bytes(plan.route)
         return CallProfile(
             self.work_times.usual_ms(plan.route),
             body_bytes,
             usable_part,
-            self.answer_sizes.usual_bytes(plan.route),
+            answer_bytes,
+            transfer_ms=self.link.answer_ms(answer_bytes),
+            link_use=self.link.use,
         )
 
     def consider_hedges(self, now_ms: float) -> None:
@@ -459,6 +468,7 @@
         """Deregister a call and count how it ended."""
         self.calls.discard(call)
         self.metrics.count_call(call.plan.service, end)
+        self.relayed_bytes += call.relayed_bytes
         if end is CallEnd.ANSWERED and call.status < FIRST_SERVER_ERROR:
             self.answer_sizes.add(call.plan.route, call.relayed_bytes)
         if not self.calls:
--- a/cicadawheel/entry/peers.py
+++ b/cicadawheel/entry/peers.py
@@ -156,6 +156,11 @@
         if self._stream is None and self._connecting is None:
             self._connecting = asyncio.ensure_future(self._connect())
 
+    @property
+    def stream(self) -> Stream | None:
+        """The stream, if it is open."""
+        return self._stream
+
     @property
     def is_idle(self) -> bool:
         """Whether the stream is open and has no calls."""
@@ -356,6 +361,11 @@
                 self._unused_since_ms.pop(node, None)
                 self._links.pop(node).close()
 
+    def streams(self) -> list[Stream]:
+        """Return the open streams."""
+        found = (link.stream for link in self._links.values())
+        return [stream for stream in found if stream is not None]
+
     def connect(self, members: Iterable[Member]) -> None:
         """Connect to nodes before the first call, to receive their load reports."""
         for member in members:
--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -15,6 +15,7 @@
 from cicadawheel.entry.answer_size import INITIAL_ANSWER_BYTES
 from cicadawheel.entry.candidate import Candidate
 from cicadawheel.entry.group import Group, Usable
+from cicadawheel.entry.transfer import delayed_ms
 from cicadawheel.slowness import remaining_ms
 
 INITIAL_WORK_MS = 100.0
@@ -58,13 +59,16 @@
     """The properties of a call by which it is placed.
 
     ``usable_part`` is the fraction of an upstream's slots that its priority may use.
-    ``answer_bytes`` is the usual size of an answer.
+    ``answer_bytes`` is the usual size of an answer, and ``transfer_ms`` its time on an
+    idle link, of which ``link_use`` is used by others; 0 if small.
     """
 
     work_ms: float = INITIAL_WORK_MS
     body_bytes: int = 0
     usable_part: float = 1.0
     answer_bytes: float = INITIAL_ANSWER_BYTES
+    transfer_ms: float = 0.0
+    link_use: float = 0.0
 
 
 DEFAULT_PROFILE = CallProfile()
@@ -108,6 +112,9 @@
     if own:
         return cost_ms
     cost_ms += HOP_MS
+    if profile.transfer_ms:
+        other_use = candidate.link_use
+        cost_ms += delayed_ms(profile.transfer_ms, profile.link_use, other_use)
     if distance_ms:
         size_bytes = profile.body_bytes + max(CALL_BYTES, profile.answer_bytes)
         cost_ms += ONE_WAY_TRIPS * distance_ms
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -97,6 +97,7 @@
         self.admission = make_admission(settings)
         self.publisher = LoadPublisher(timers, lambda: self.load())
         self._failures = FailureShare()
+        self.link_use = 0.0
         self.pool = UpstreamPool(settings.connect_timeout_ms)
         self._health: HealthReader | None = None
         if settings.limit == REPORTED_LIMIT:
@@ -215,6 +216,7 @@
             load,
             may_repeat=self.repeats.may_repeat(),
             failure_share=self._failures.value(self.clock.now_ms()),
+            link_use=self.link_use,
         )
 
     def open(self, call: CallOpen, sink: ReplySink) -> GateCall:
--- a/cicadawheel/gate/news.py
+++ b/cicadawheel/gate/news.py
@@ -14,6 +14,9 @@
 FAILURE_STEP = 0.15
 """A smaller change of the share of failures may be chance."""
 
+LINK_USE_STEP = 0.3
+"""A smaller change of the use of the link changes the time of an answer little."""
+
 SLOT_REPORTS_PER_S = 100.0
 """Reports a second, to all entries together, of whether a slot is free.
 
@@ -81,5 +84,7 @@
         return True
     if abs(pushed.failure_share - load.failure_share) >= FAILURE_STEP:
         return True
+    if abs(pushed.link_use - load.link_use) >= LINK_USE_STEP:
+        return True
     ratio = load.slowness / pushed.slowness
     return ratio >= SLOWNESS_STEP or ratio <= 1.0 / SLOWNESS_STEP
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -39,6 +39,7 @@
 from cicadawheel.metrics import NodeMetrics
 from cicadawheel.node.admin import ANNOUNCE_REPEAT_MS, make_admin_handler
 from cicadawheel.node.announcement_filter import AnnouncementFilter
+from cicadawheel.node.bandwidth import LinkWatch
 from cicadawheel.node.claims import NodeClaims
 from cicadawheel.node.link import ControlLink
 from cicadawheel.node.peer_views import PeerViews
@@ -152,8 +153,10 @@
             self.metrics,
             self.releases,
             dialect,
+            settings.node.link_mbps,
         )
         self.entry.caller_service = settings.node.service
+        LinkWatch(self.entry, self.gate, self.links, self.peer_streams).start(timers)
         self.peer_views = PeerViews(self.control, self.links, self.random, timers)
         self.announced_at_ms = 0.0
         self._announcement_filter = AnnouncementFilter()
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -65,6 +65,7 @@
     upstream_address: Address | None
     drain_timeout_ms: PositiveMs
     drain_notice_ms: NonNegative
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)]
 
     def control_streams(self) -> tuple[Address, ...]:
         """Return the addresses at which control replicas accept node streams."""
