Calls leave their data centre for want of room, as a damped flow

Cause: each call went where it alone cost least; 25 entries that saw the same spare room far away all took it, also when near upstreams would have answered in time.

Change: a call with a target stays near while an upstream there has a free slot and is expected to answer in time. If it would have to queue there (a third of the slots may), it stays by the damped share of calls that the near ones couldn't bear of late: that rises within a second and falls in several. If near ones can't bear it, it leaves at once for far ones with free slots, spread by those. If nobody has room, the cost decides as before; so it does for calls without a target and for later attempts.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -304,7 +304,9 @@
 
         ``only_at``, if set, is the only node that may run the request.
         """
-        profile = self._profile(plan, body_bytes)
+        # The first attempt has all of the time; later ones go where they end soonest.
+        target_ms = 0.0 if tried else plan.target_ms
+        profile = self._profile(plan, body_bytes, target_ms)
         now_ms = self.clock.now_ms()
         choice = self.versions.choose(plan.service, retry=bool(tried))
         if only_at:
@@ -421,7 +423,9 @@
         done_ms = self.router.work_done_ms(pick.member.node, now_ms) - pick.work_ms
         return self.router.gain_ms(pick.member, other.member, profile, done_ms)
 
-    def _profile(self, plan: CallPlan, body_bytes: int = 0) -> CallProfile:
+    def _profile(
+        self, plan: CallPlan, body_bytes: int = 0, target_ms: float = 0.0
+    ) -> CallProfile:
         reserve = self._reserves.get(plan.service)
         usable_part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
         answer_bytes = self.answer_sizes.usual_bytes(plan.route)
@@ -432,6 +436,8 @@
             answer_bytes,
             transfer_ms=self.link.answer_ms(answer_bytes),
             link_use=self.link.use,
+            target_ms=target_ms,
+            priority=plan.priority,
         )
 
     def consider_hedges(self, now_ms: float) -> None:
--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -15,6 +15,7 @@
 from cicadawheel.entry.answer_size import INITIAL_ANSWER_BYTES
 from cicadawheel.entry.candidate import Candidate
 from cicadawheel.entry.group import Group, Usable
+from cicadawheel.entry.locality import Flows, NearState
 from cicadawheel.entry.transfer import delayed_ms
 from cicadawheel.slowness import remaining_ms
 
@@ -47,6 +48,13 @@
 TOLERATED_FAILURE_SHARE = 0.15
 """A share up to this may be chance, as it is measured over about ten requests."""
 
+WORK_SPREAD = 0.5
+"""One request in ten takes longer than usual by this share of its work."""
+
+QUEUE_PART = 0.34
+"""The calls that may wait at a near upstream, as a fraction of its slots; they wait for
+a third of the work of a call, and most targets are several times that work."""
+
 FAILURE_COST = 4.0
 """The cost of a failure in work times. At an upstream that fails half of its requests
 it is that of a short queue: such an upstream is better than a refusal."""
@@ -60,7 +68,8 @@
 
     ``usable_part`` is the fraction of an upstream's slots that its priority may use.
     ``answer_bytes`` is the usual size of an answer, and ``transfer_ms`` its time on an
-    idle link, of which ``link_use`` is used by others; 0 if small.
+    idle link, of which ``link_use`` is used by others; 0 if small. ``target_ms`` is the
+    time left until the target latency, 0 if there is none to plan for.
     """
 
     work_ms: float = INITIAL_WORK_MS
@@ -69,6 +78,14 @@
     answer_bytes: float = INITIAL_ANSWER_BYTES
     transfer_ms: float = 0.0
     link_use: float = 0.0
+    target_ms: float = 0.0
+    priority: int = 0
+
+    @property
+    def remote_cost_ms(self) -> float:
+        """The cost of the bytes between data centres, as time."""
+        size_bytes = self.body_bytes + max(CALL_BYTES, self.answer_bytes)
+        return size_bytes / BYTES_PER_KIB * REMOTE_MS_PER_KIB
 
 
 DEFAULT_PROFILE = CallProfile()
@@ -98,7 +115,15 @@
 def expected_answer_ms(
     candidate: Candidate, profile: CallProfile, distance_ms: float, own: bool
 ) -> float:
-    """Return the cost of a call at an upstream, as the expected time to its answer."""
+    """Return the cost of a call at an upstream: its time and that of the bytes."""
+    cost_ms = expected_time_ms(candidate, profile, distance_ms, own)
+    return cost_ms + (profile.remote_cost_ms if distance_ms else 0.0)
+
+
+def expected_time_ms(
+    candidate: Candidate, profile: CallProfile, distance_ms: float, own: bool
+) -> float:
+    """Return the expected time from a call to the end of its answer."""
     slowness, calls = candidate.slowness, candidate.calls()
     capacity = max(1.0, candidate.capacity() * profile.usable_part)
     work_ms = profile.work_ms * (1.0 + FULL_LOAD_DELAY * min(1.0, calls / capacity))
@@ -111,28 +136,40 @@
         cost_ms += excess_share * FAILURE_COST * profile.work_ms
     if own:
         return cost_ms
-    cost_ms += HOP_MS
+    cost_ms += HOP_MS + ONE_WAY_TRIPS * distance_ms
     if profile.transfer_ms:
         other_use = candidate.link_use
         cost_ms += delayed_ms(profile.transfer_ms, profile.link_use, other_use)
-    if distance_ms:
-        size_bytes = profile.body_bytes + max(CALL_BYTES, profile.answer_bytes)
-        cost_ms += ONE_WAY_TRIPS * distance_ms
-        cost_ms += size_bytes / BYTES_PER_KIB * REMOTE_MS_PER_KIB
     return cost_ms
 
 
+class Option(msgspec.Struct, frozen=True):
+    """An upstream that may get a call, with the time and the cost of that."""
+
+    candidate: Candidate
+    far: bool
+    time_ms: float
+    cost_ms: float
+
+
 class SoonestAnswer:
     """Selects one of the upstreams that are expected to answer soonest.
 
+    A call that has a target stays in its data centre while an upstream there has room
+    for it in time, as `Flow` decides. Others leave it if one elsewhere has room, spread
+    by the free slots. All else goes where it costs least.
+
     Parameters
     ----------
     random : Random
         Selects among those whose expected times are about equal.
+    flows : Flows, optional
+        The record of what leaves the data centre.
     """
 
-    def __init__(self, random: Random):
+    def __init__(self, random: Random, flows: Flows | None = None):
         self.random = random
+        self.flows = flows or Flows()
 
     def pick(
         self,
@@ -143,13 +180,84 @@
         profile: CallProfile,
     ) -> Candidate | None:
         """Select the candidate for a call, or None if none is usable."""
-        best_ms = math.inf
-        costs = []
-        for tier in group.tiers:
-            for candidate in filter(usable, tier.candidates):
-                own = candidate is group.own
-                cost_ms = expected_answer_ms(candidate, profile, tier.distance_ms, own)
-                best_ms = min(best_ms, cost_ms)
-                costs.append((cost_ms, candidate))
-        tied = [item for cost_ms, item in costs if cost_ms <= best_ms * TIE_FACTOR]
+        options = _options(group, usable, profile)
+        if profile.target_ms:
+            placed = self._placed(group, options, profile, now_ms)
+            if placed is not None:
+                return placed
+        return self._cheapest(options)
+
+    def _placed(
+        self,
+        group: Group,
+        options: list[Option],
+        profile: CallProfile,
+        now_ms: float,
+    ) -> Candidate | None:
+        """Select a near upstream, or a far one with room; None if neither will do."""
+        near = [option for option in options if not option.far]
+        state, bearing = _near_state(near, profile)
+        flow = self.flows.flow(group.used[0].member.service, profile.priority)
+        far = []
+        if not flow.stays(state, self.random, now_ms):
+            far = [one for one in options if one.far and _has_room(one, profile)]
+        flow.sent(bool(far))
+        if far:
+            rooms = [_room(option.candidate, profile) for option in far]
+            return self.random.choices(far, rooms)[0].candidate
+        return self._cheapest(bearing)
+
+    def _cheapest(self, options: list[Option]) -> Candidate | None:
+        """Select one of those whose cost is about the lowest."""
+        best_ms = min((option.cost_ms for option in options), default=math.inf)
+        limit_ms = best_ms * TIE_FACTOR
+        tied = [option.candidate for option in options if option.cost_ms <= limit_ms]
         return self.random.choice(tied) if tied else None
+
+
+def _options(group: Group, usable: Usable, profile: CallProfile) -> list[Option]:
+    options = []
+    for tier in group.tiers:
+        far = tier.distance_ms > 0.0
+        remote_ms = profile.remote_cost_ms if far else 0.0
+        for candidate in filter(usable, tier.candidates):
+            own = candidate is group.own
+            time_ms = expected_time_ms(candidate, profile, tier.distance_ms, own)
+            options.append(Option(candidate, far, time_ms, time_ms + remote_ms))
+    return options
+
+
+def _near_state(
+    near: list[Option], profile: CallProfile
+) -> tuple[NearState, list[Option]]:
+    """Return what the near upstreams can do for a call, and those that can."""
+    if not near:
+        return NearState.NONE, []
+    quick = [option for option in near if _is_quick(option, profile)]
+    if not quick:
+        return NearState.SLOW, []
+    free = [one for one in quick if _room(one.candidate, profile) >= 1.0]
+    if free:
+        return NearState.FREE, free
+    queues = [one for one in quick if _has_queue_place(one.candidate, profile)]
+    return (NearState.QUEUE if queues else NearState.FULL), queues
+
+
+def _has_room(option: Option, profile: CallProfile) -> bool:
+    """Return whether a call is expected to find a slot and meet its target."""
+    return _is_quick(option, profile) and _room(option.candidate, profile) >= 1.0
+
+
+def _is_quick(option: Option, profile: CallProfile) -> bool:
+    spread_ms = WORK_SPREAD * profile.work_ms
+    return option.time_ms + spread_ms <= profile.target_ms
+
+
+def _room(candidate: Candidate, profile: CallProfile) -> float:
+    """Return the slots that are free for a call of this rank."""
+    return candidate.capacity() * profile.usable_part - candidate.calls()
+
+
+def _has_queue_place(candidate: Candidate, profile: CallProfile) -> bool:
+    places = QUEUE_PART * candidate.capacity()
+    return _room(candidate, profile) + places >= 1.0
--- a/cicadawheel/entry/policy.py
+++ b/cicadawheel/entry/policy.py
@@ -5,6 +5,7 @@
 
 from cicadawheel.entry.candidate import SPILL_START_UTILISATION, Candidate
 from cicadawheel.entry.group import Group, Usable, sample_usable
+from cicadawheel.entry.locality import Flows
 from cicadawheel.entry.placement import DEFAULT_PROFILE, CallProfile, SoonestAnswer
 from cicadawheel.errors import SettingsError
 from cicadawheel.settings import EntrySettings
@@ -192,7 +193,9 @@
         return min(filter(usable, group.used), key=Candidate.reported_use, default=None)
 
 
-def make_policy(settings: EntrySettings, random: Random) -> PickPolicy:
+def make_policy(
+    settings: EntrySettings, random: Random, flows: Flows | None = None
+) -> PickPolicy:
     """Return the policy selected in the settings.
 
     Raises
@@ -203,7 +206,7 @@
     if settings.policy == "weighted-choices":
         return WeightedChoices(settings, random)
     if settings.policy == "soonest-answer":
-        return SoonestAnswer(random)
+        return SoonestAnswer(random, flows)
     if settings.policy == "two-choices":
         return TwoChoices(settings, random)
     if settings.policy == "round-robin":
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -16,6 +16,7 @@
     Ejections,
 )
 from cicadawheel.entry.group import Group, make_group
+from cicadawheel.entry.locality import FlowReport, Flows
 from cicadawheel.entry.placement import DEFAULT_PROFILE, CallProfile, expected_answer_ms
 from cicadawheel.entry.policy import make_policy
 from cicadawheel.ids import (
@@ -72,6 +73,7 @@
     policy: str
     candidates: list[CandidateReport]
     ejected: list[EjectionReport]
+    flows: list[FlowReport]
 
 
 class Router:
@@ -102,7 +104,8 @@
         self.configuration = Configuration()
         self.ejections = Ejections()
         self.random = random
-        self._policy = make_policy(settings, random)
+        self.flows = Flows()
+        self._policy = make_policy(settings, random, self.flows)
         self._candidates: dict[NodeId, Candidate] = {}
         self._by_service: dict[ServiceName, list[Candidate]] = {}
         self._groups: dict[tuple[ServiceName, VersionName], Group] = {}
@@ -367,7 +370,10 @@
             for node, candidate in self._candidates.items()
         ]
         return RouterReport(
-            self.settings.policy, candidates, self.ejections.report(now_ms)
+            self.settings.policy,
+            candidates,
+            self.ejections.report(now_ms),
+            self.flows.report(),
         )
 
     def _members(self) -> list[Member]:
--- a/test/news_fleet.py
+++ b/test/news_fleet.py
@@ -95,8 +95,7 @@
         entries = len(self.fleet.listeners[self.node])
         if self.changes.should_push(load, now_ms, entries):
             for router in self.fleet.listeners[self.node]:
-                self.fleet.reports += 1
-                router.observe(self.node, load, now_ms)
+                self.fleet.report(self, router, load, now_ms)
 
 
 class ModelCall:
@@ -124,6 +123,8 @@
         Their numbers; the first ``gates`` entries are on the gates' nodes.
     """
 
+    profile = CallProfile(WORK_MS)
+
     def __init__(self, seed, gates=42, entries=81):
         self.seed = seed
         self.draw = Random(seed)
@@ -133,8 +134,11 @@
         self.reports = 0
         self.moves = 0
         self.gates = {f"n{n}": ModelGate(self, n) for n in range(gates)}
-        members = [_make_member(number) for number in range(gates)]
-        self.routers = [_make_router(members, number) for number in range(entries)]
+        members = [self.make_member(number) for number in range(gates)]
+        self.routers = [
+            make_router(members, *self.place_of_entry(number))
+            for number in range(entries)
+        ]
         self.listeners = {node: [] for node in self.gates}
         for router in self.routers:
             for member in router.used_members():
@@ -154,6 +158,18 @@
             action(*arguments, now_ms)
         return self.ends
 
+    def place_of_entry(self, number):
+        """Return the number of an entry's node, and its data centre."""
+        return number, f"d{number % DATA_CENTRES}"
+
+    def make_member(self, number):
+        centre = f"d{number % DATA_CENTRES}"
+        return make_member(number, centre)
+
+    def choose_entry(self):
+        """Return the router of the entry that gets the next call."""
+        return self.draw.choice(self.routers)
+
     def answered(self, call, gate, failed, now_ms):
         call.router.ended(gate.node, gate.load(now_ms), now_ms)
         call.router.answered(gate.node, not failed, now_ms)
@@ -170,7 +186,7 @@
 
     def _arrive(self, calls_per_s, now_ms):
         work_ms = self.draw.lognormvariate(0.0, 0.3) * WORK_MS
-        router = self.draw.choice(self.routers)
+        router = self.choose_entry()
         self._place(ModelCall(next(self.numbers), router, now_ms, work_ms), now_ms)
         delay_ms = self.draw.expovariate(calls_per_s / 1_000.0)
         self.at(now_ms + delay_ms, self._arrive, calls_per_s)
@@ -180,7 +196,7 @@
         avoided = call.tried - call.busy
         picked = None
         if call.attempts - len(call.busy) < DISPATCH_LIMIT:
-            picked = call.router.pick("s", "", avoided, now_ms, CallProfile(WORK_MS))
+            picked = call.router.pick("s", "", avoided, now_ms, self.profile)
         if picked is None:
             self.ends["refused"] += 1
             return
@@ -192,7 +208,16 @@
             and call.router.has_free_slot(picked.node)
         )
         call.router.started(picked.node, now_ms)
-        self.at(now_ms + HOP_MS, self.gates[picked.node].offer, call)
+        self.at(now_ms + HOP_MS, self.offer, call, self.gates[picked.node])
+
+    def offer(self, call, gate, now_ms):
+        """Hand a call to a gate."""
+        gate.offer(call, now_ms)
+
+    def report(self, gate, router, load, now_ms):
+        """Deliver a load report to an entry."""
+        self.reports += 1
+        router.observe(gate.node, load, now_ms)
 
     def _poll(self, gate, now_ms):
         gate.poll(now_ms)
@@ -203,17 +228,15 @@
         self.at(now_ms + TICK_INTERVAL_MS, self._tick, gate)
 
 
-def _make_member(number):
-    centre = f"d{number % DATA_CENTRES}"
+def make_member(number, centre):
     return Member(
         f"n{number}", f"u{number}", "s", "v", centre, "127.0.0.1", number, SLOTS, 100
     )
 
 
-def _make_router(members, number):
+def make_router(members, number, centre):
     settings = EntrySettings(policy="soonest-answer")
-    node, centre = f"n{number}", f"d{number % DATA_CENTRES}"
-    router = Router(settings, centre, Random(number), node)
+    router = Router(settings, centre, Random(number), f"n{number}")
     router.configure(Configuration(1, services={"s": ServiceRule("s", DEADLINE_MS)}))
     router.set_members(members, 0.0)
     return router
--- /dev/null
+++ b/test/test_locality.py
@@ -0,0 +1,153 @@
+"""Calls leave their data centre for want of room there, and as a steady flow.
+
+The fleet has 52 upstreams with 3 slots each in three data centres, the least of them in
+the one with the most callers, and 25 entries. A quarter of the VMs is seven times
+slower at any time, in periods of half a second.
+"""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from locality_fleet import UPSTREAMS, LocalityFleet
+from news_fleet import SLOTS, WORK_MS
+from spells import SLOW_SHARE, SLOWNESS
+from test_placement import SLOTS as ROUTER_SLOTS
+from test_placement import TARGET_MS, make_load, make_member, make_router
+
+from cicadawheel.entry.locality import Flow, Flows, NearState
+from cicadawheel.entry.placement import CallProfile
+
+MEAN_WORK_MS = WORK_MS * 1.046
+CAPACITY_PER_S = (
+    sum(UPSTREAMS)
+    * SLOTS
+    * (1 - SLOW_SHARE + SLOW_SHARE / SLOWNESS)
+    / MEAN_WORK_MS
+    * 1_000
+)
+SEEDS = (1, 2, 3)
+CALL_INTERVAL_MS = 20.0
+PROFILE = CallProfile(100.0, target_ms=TARGET_MS)
+
+
+class FleetByCost(LocalityFleet):
+    """The same fleet, where each call goes where it alone costs least."""
+
+    profile = CallProfile(WORK_MS)
+
+
+def play(fleets, load, seconds):
+    """Return the share of calls in time, and of those that leave, over all seeds."""
+    ends, away = Counter(), 0.0
+    for fleet in fleets:
+        ends.update(fleet.run(load * CAPACITY_PER_S, seconds))
+        away += fleet.share_away() / len(fleets)
+    return ends["in time"] / sum(ends.values()), away
+
+
+def test_at_most_half_as_many_calls_leave_and_no_fewer_are_in_time():
+    in_time, away = play([LocalityFleet(seed) for seed in SEEDS], 0.5, 6.0)
+    before = play([FleetByCost(seed) for seed in SEEDS], 0.5, 6.0)
+    assert in_time >= before[0] - 0.005
+    assert away <= 0.5 * before[1]
+
+
+def test_share_sent_away_does_not_swing_at_constant_demand():
+    fleet = LocalityFleet(1)
+    fleet.run(0.5 * CAPACITY_PER_S, 22.0)
+    shares = [
+        fleet.share_away("d1", range(begin, begin + 3)) for begin in range(1, 20, 3)
+    ]
+    mean = sum(shares) / len(shares)
+    assert all(abs(share - mean) <= 0.15 for share in shares)
+
+
+def test_calls_of_a_lost_data_centre_are_served_by_others_within_a_second():
+    fleet = LocalityFleet(1)
+    fleet.at(3_000.0, lambda now_ms: fleet.lose("d2", now_ms))
+    fleet.run(0.4 * CAPACITY_PER_S, 8.0)
+    for second in (4, 5, 6):
+        assert fleet.good[second] >= 0.9 * fleet.arrivals[second]
+
+
+def picks(loads, profile=PROFILE, count=200):
+    """Return how often each upstream is picked; names of far ones begin with f."""
+    members = [make_member(node, "d1" if node[0] == "f" else "d0") for node in loads]
+    router = make_router(members)
+    for node, load in loads.items():
+        router.observe(node, load, 0.0)
+    return Counter(router.pick("s", "", set(), 0.0, profile).node for _ in range(count))
+
+
+def test_call_stays_near_while_a_slot_is_free_in_time():
+    loads = {"n0": make_load(ROUTER_SLOTS - 1, 1.4), "f0": make_load(0)}
+    assert set(picks(loads)) == {"n0"}
+
+
+@pytest.mark.parametrize(
+    "near", [make_load(ROUTER_SLOTS, queued=4), make_load(0, SLOWNESS)]
+)
+def test_call_without_room_near_leaves_at_once_to_where_slots_are_free(near):
+    loads = {
+        "n0": near,
+        "f0": make_load(ROUTER_SLOTS - 6),
+        "f1": make_load(ROUTER_SLOTS - 2),
+        "f2": make_load(ROUTER_SLOTS),
+    }
+    profile = CallProfile(100.0, target_ms=300.0)
+    counts = picks(loads, profile)
+    assert set(counts) == {"f0", "f1"}
+    assert 2.0 < counts["f0"] / counts["f1"] < 4.5
+
+
+def test_call_stays_near_if_no_data_centre_has_room():
+    full = make_load(ROUTER_SLOTS, queued=9)
+    assert set(picks({"n0": full, "f0": full})) == {"n0"}
+
+
+def test_slots_kept_for_higher_ranks_are_no_room():
+    loads = {"n0": make_load(ROUTER_SLOTS - 2), "f0": make_load(0)}
+    low = CallProfile(100.0, usable_part=0.5, target_ms=TARGET_MS, priority=1)
+    assert set(picks(loads, low)) == {"f0"}
+    assert set(picks(loads)) == {"n0"}
+
+
+def feed(flow, state, begin_ms, seconds):
+    """Feed a state for some time; return the share of calls that stay, and the time."""
+    draw, count = Random(1), int(seconds * 1_000.0 / CALL_INTERVAL_MS)
+    stays = 0
+    for number in range(count):
+        now_ms = begin_ms + number * CALL_INTERVAL_MS
+        stays += flow.stays(state, draw, now_ms)
+    return stays / count, begin_ms + count * CALL_INTERVAL_MS
+
+
+def test_queues_level_out_peaks_but_are_left_while_more_calls_come_than_fit():
+    flow = Flow()
+    assert feed(flow, NearState.QUEUE, 0.0, 2.0)[0] == 1.0
+    _, now_ms = feed(flow, NearState.FULL, 2_000.0, 1.0)
+    assert flow.pressure > 0.6
+    assert feed(flow, NearState.QUEUE, now_ms, 0.5)[0] < 0.5
+
+
+def test_pressure_falls_slowly_so_that_calls_come_back_one_by_one():
+    flow = Flow()
+    _, now_ms = feed(flow, NearState.NONE, 0.0, 3.0)
+    _, now_ms = feed(flow, NearState.FREE, now_ms, 1.0)
+    assert 0.5 < flow.pressure < 0.95
+    feed(flow, NearState.FREE, now_ms, 12.0)
+    assert flow.pressure < 0.1
+
+
+def test_change_of_the_share_is_told_by_tenths_with_its_reason():
+    flows = Flows()
+    flow = flows.flow("s", 1)
+    assert not flows.changes()
+    flow.stays(NearState.FULL, Random(1), 0.0)
+    for _ in range(60):
+        flow.sent(True)
+    (change,) = flows.changes()
+    assert (change.service, change.why) == ("s", NearState.FULL.value)
+    assert change.share > 0.9
+    assert not flows.changes()
