Operators see the size of answers, the use of links and what leaves

The dump has the usual size of answers by route and the flows, metrics have the share sent away and the use of the link, and a change of the share by a tenth is logged with its cause.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -447,6 +447,20 @@
         for call in list(self.calls):
             call.consider_hedge()
 
+    def watch_flows(self, now_ms: float) -> None:
+        """Log the flows whose share sent away has changed, and set their gauges."""
+        for flow in self.router.flows.changes():
+            log_event(
+                log,
+                "flow_changed",
+                service=flow.service,
+                priority=flow.priority,
+                share=flow.share,
+                pressure=flow.pressure,
+                reason=flow.why,
+            )
+        self.metrics.set_flow_gauges(self.router.flows.report(), self.link.use)
+
     def hedge_delay_ms(self, plan: CallPlan) -> float | None:
         """Return the delay after which a call is hedged, None if it never is."""
         quantile = plan.hedge_after_quantile
--- a/cicadawheel/entry/locality.py
+++ b/cicadawheel/entry/locality.py
@@ -24,6 +24,9 @@
 """Time constant of a falling pressure, several slow periods of VMs long, so that what
 comes back doesn't fill the near upstreams at once."""
 
+REPORT_INTERVAL_MS = 500.0
+"""Interval at which changes of the share sent away are looked for."""
+
 LOGGED_STEP = 0.1
 """A change of the share sent away by this much is logged."""
 
--- a/cicadawheel/metrics.py
+++ b/cicadawheel/metrics.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from cicadawheel.entry.locality import FlowReport
 from cicadawheel.ids import ServiceName
 from cicadawheel.timer import MS_PER_S
 
@@ -76,6 +77,17 @@
             "Requests that wait for a slot.",
             registry=self.registry,
         )
+        self.away_share = Gauge(
+            "cicadawheel_away_share",
+            "Share of recent calls sent to another data centre, by service and rank.",
+            ["service", "priority"],
+            registry=self.registry,
+        )
+        self.link_use = Gauge(
+            "cicadawheel_link_use",
+            "Fraction of the VM's link in use, 0 if its rate is unknown.",
+            registry=self.registry,
+        )
         self._calls: dict[tuple[ServiceName, Enum], Counter] = {}
         self._latencies: dict[ServiceName, Histogram] = {}
 
@@ -107,6 +119,12 @@
         self.probes.inc()
         self.probe_bytes.inc(size_bytes)
 
+    def set_flow_gauges(self, flows: list[FlowReport], link_use: float) -> None:
+        """Set the gauges of what leaves the data centre and of the link."""
+        for flow in flows:
+            self.away_share.labels(flow.service, flow.priority).set(flow.share)
+        self.link_use.set(link_use)
+
     def set_gate_gauges(self, limit: int, in_flight: int, queued: int) -> None:
         """Set the gauges of the gate."""
         self.gate_limit.set(limit)
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -14,7 +14,7 @@
 from cicadawheel.configuration import Configuration, Member
 from cicadawheel.control.lease import NodeLoad
 from cicadawheel.control.messages import ClaimAnswer, EvidenceReport, View
-from cicadawheel.entry import peers
+from cicadawheel.entry import locality, peers
 from cicadawheel.entry.entry import Entry, EntryReport
 from cicadawheel.entry.peers import PeerLinks
 from cicadawheel.entry.probing import REPORT_COST_BYTES
@@ -162,6 +162,7 @@
         self._announcement_filter = AnnouncementFilter()
         timers.every(MEASURE_INTERVAL_MS, self._measure)
         timers.every(HEDGE_INTERVAL_MS, self.entry.consider_hedges)
+        timers.every(locality.REPORT_INTERVAL_MS, self.entry.watch_flows)
         timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
         timers.every(caller.CHECK_INTERVAL_MS, self.entry.close_idle)
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
--- a/test/test_locality.py
+++ b/test/test_locality.py
@@ -151,3 +151,20 @@
     assert (change.service, change.why) == ("s", NearState.FULL.value)
     assert change.share > 0.9
     assert not flows.changes()
+
+
+def test_entry_logs_the_share_once_and_shows_it(on_site, caplog):
+    async def work(site):
+        entry = site.nodes[0].entry
+        for _ in range(60):
+            entry.router.flows.flow("shop", 0).sent(True)
+        with caplog.at_level("INFO"):
+            entry.watch_flows(0.0)
+            entry.watch_flows(500.0)
+        registry, labels = entry.metrics.registry, {"service": "shop", "priority": "0"}
+        assert registry.get_sample_value("cicadawheel_away_share", labels) > 0.9
+        assert [one.share > 0.9 for one in entry.report().router.flows] == [True]
+
+    on_site(work)
+    events = [one for one in caplog.records if "flow_changed" in str(vars(one))]
+    assert len(events) == 1
