--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -12,6 +12,7 @@
     answer_fault,
     answer_refusal,
 )
+from cicadawheel.entry.answer_size import AnswerSizes
 from cicadawheel.entry.call import EntryCall
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.latency import Latencies
@@ -26,6 +27,7 @@
 from cicadawheel.entry.retry_after import retry_after_ms
 from cicadawheel.entry.router import Router, RouterReport
 from cicadawheel.entry.routes import RouteTable
+from cicadawheel.entry.transfer import LinkMeter
 from cicadawheel.entry.versions import Pick, Versions
 from cicadawheel.gate.gate import Gate
 from cicadawheel.http.caller import CallerConnection
@@ -74,6 +76,7 @@
     router: RouterReport
     retry_budgets: list[RetryBudgetReport]
     quarantined: list[Fingerprint]
+    answer_bytes: dict[str, float]
 
 
 class Entry:
@@ -103,6 +106,8 @@
         Selects the version of a service for each call.
     dialect : Dialect
         The header fields that callers and upstreams use.
+    link_mbps : float
+        The rate of this VM's link, 0 if it is unknown.
     """
 
     def __init__(
@@ -118,6 +123,7 @@
         metrics: NodeMetrics,
         versions: Versions,
         dialect: Dialect = OWN_DIALECT,
+        link_mbps: float = 0.0,
     ):
         self.node = node
         self.settings = settings
@@ -134,6 +140,9 @@
         self.caller_service = ServiceName("")
         self.repeats = Repeats(settings, router, clock)
         self.work_times = WorkTimes()
+        self.answer_sizes = AnswerSizes()
+        self.link = LinkMeter(link_mbps)
+        self.relayed_bytes = 0
         self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
         self.probe_limiter = ProbeLimiter()
@@ -304,7 +313,9 @@
 
         ``only_at``, if set, is the only node that may run the request.
         """
-        profile = self._profile(plan, body_bytes)
+        # The first attempt has all of the time; later ones go where they end soonest.
+        target_ms = 0.0 if tried else plan.target_ms
+        profile = self._profile(plan, body_bytes, target_ms)
         now_ms = self.clock.now_ms()
         choice = self.versions.choose(plan.service, retry=bool(tried))
         if only_at:
@@ -421,12 +432,22 @@
         done_ms = self.router.work_done_ms(pick.member.node, now_ms) - pick.work_ms
         return self.router.gain_ms(pick.member, other.member, profile, done_ms)
 
-    def _profile(self, plan: CallPlan, body_bytes: int = 0) -> CallProfile:
+    def _profile(
+        self, plan: CallPlan, body_bytes: int = 0, target_ms: float = 0.0
+    ) -> CallProfile:
         reserve = self._reserves.get(plan.service)
         rank = reserve_rank(plan.priority, plan.spent_ms)
         usable_part = 1.0 if reserve is None else reserve.usable_part(rank)
+        answer_bytes = self.answer_sizes.usual_bytes(plan.route)
         return CallProfile(
-            self.work_times.usual_ms(plan.route), body_bytes, usable_part
+            self.work_times.usual_ms(plan.route),
+            body_bytes,
+            usable_part,
+            answer_bytes,
+            transfer_ms=self.link.answer_ms(answer_bytes),
+            link_use=self.link.use,
+            target_ms=target_ms,
+            priority=plan.priority,
         )
 
     def consider_hedges(self, now_ms: float) -> None:
@@ -436,6 +457,20 @@
         for call in list(self.calls):
             call.consider_hedge()
 
+    def watch_flows(self, now_ms: float) -> None:
+        """Log the flows whose share sent away has changed, and set their gauges."""
+        for flow in self.router.flows.changes():
+            log_event(
+                log,
+                "flow_changed",
+                service=flow.service,
+                priority=flow.priority,
+                share=flow.share,
+                pressure=flow.pressure,
+                reason=flow.why,
+            )
+        self.metrics.set_flow_gauges(self.router.flows.report(), self.link.use)
+
     def hedge_delay_ms(self, plan: CallPlan) -> float | None:
         """Return the delay after which a call is hedged, None if it never is."""
         quantile = plan.hedge_after_quantile
@@ -463,6 +498,9 @@
         """Deregister a call and count how it ended."""
         self.calls.discard(call)
         self.metrics.count_call(call.plan.service, end)
+        self.relayed_bytes += call.relayed_bytes
+        if end is CallEnd.ANSWERED and call.status < FIRST_SERVER_ERROR:
+            self.answer_sizes.add(call.plan.route, call.relayed_bytes)
         if not self.calls:
             self.idle.set()
 
@@ -492,4 +530,5 @@
             router=self.router.report(self.clock.now_ms()),
             retry_budgets=self.repeats.report(),
             quarantined=sorted(self.quarantined),
+            answer_bytes=self.answer_sizes.report(),
         )
