Entries hear of fewer distant upstreams while the near ones suffice

Cause: each entry heard of eight or more distant upstreams, also where none of its calls left. With 25 entries and 52 upstreams at half of the capacity the reports were 25 in 100 of the bytes between data centres, and all of them at a fifth of it (model, 81 bytes a report).

Change: four distant ones are used; eight again from a pressure of 0.05 on, until it has fallen to 0.01.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -448,7 +448,7 @@
             call.consider_hedge()
 
     def watch_flows(self, now_ms: float) -> None:
-        """Log the flows whose share sent away has changed, and set their gauges."""
+        """Log the flows that have changed, and use the far upstreams they need."""
         for flow in self.router.flows.changes():
             log_event(
                 log,
@@ -459,6 +459,8 @@
                 pressure=flow.pressure,
                 reason=flow.why,
             )
+        if self.router.review_subsets():
+            self._update_links()
         self.metrics.set_flow_gauges(self.router.flows.report(), self.link.use)
 
     def hedge_delay_ms(self, plan: CallPlan) -> float | None:
--- a/cicadawheel/entry/group.py
+++ b/cicadawheel/entry/group.py
@@ -41,8 +41,12 @@
     configuration: Configuration,
     data_centre: DataCentreName,
     node: NodeId,
+    wide: bool = True,
 ) -> Group:
-    """Return the group of those candidates that may take new work."""
+    """Return the group of those candidates that may take new work.
+
+    ``wide`` adds more of the distant ones, for calls that leave the data centre.
+    """
     eligible = [
         item for item in candidates if _is_eligible(item, version, configuration)
     ]
@@ -55,7 +59,7 @@
     def distance_ms(candidate: Candidate) -> float:
         return distances_ms[candidate.member.data_centre]
 
-    used = choose_subset(eligible, node, distance_ms)
+    used = choose_subset(eligible, node, distance_ms, wide)
     by_distance: dict[float, list[Candidate]] = {}
     for candidate in used:
         by_distance.setdefault(distance_ms(candidate), []).append(candidate)
--- a/cicadawheel/entry/locality.py
+++ b/cicadawheel/entry/locality.py
@@ -27,6 +27,12 @@
 REPORT_INTERVAL_MS = 500.0
 """Interval at which changes of the share sent away are looked for."""
 
+LEAVING_PRESSURE = 0.05
+"""From this pressure on a service's calls count as leaving the data centre, ..."""
+
+LEFT_PRESSURE = 0.01
+"""... and down to this one they still do, so that streams aren't opened in vain."""
+
 LOGGED_STEP = 0.1
 """A change of the share sent away by this much is logged."""
 
@@ -108,6 +114,15 @@
             flow = self._flows[(service, priority)] = Flow()
         return flow
 
+    def leaving(self, before: frozenset[ServiceName]) -> frozenset[ServiceName]:
+        """Return the services whose calls leave, given those that did before."""
+        return frozenset(
+            service
+            for (service, _), flow in self._flows.items()
+            if flow.pressure
+            > (LEFT_PRESSURE if service in before else LEAVING_PRESSURE)
+        )
+
     def report(self) -> list[FlowReport]:
         """Return the state for operators."""
         return [_report(key, flow) for key, flow in self._flows.items()]
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -112,6 +112,7 @@
         self._usual_ms: dict[ServiceName, float] = {}
         self._called_at_ms: dict[ServiceName, float] = {}
         self._probed_at_ms: dict[NodeId, float] = {}
+        self._leaving: frozenset[ServiceName] = frozenset()
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration."""
@@ -171,6 +172,18 @@
         unused = [candidate.member for candidate in filter(untried, group.unused)]
         return self.random.choice(unused) if unused else None
 
+    def review_subsets(self) -> bool:
+        """Use more distant upstreams of the services whose calls leave, else fewer.
+
+        Returns whether the upstreams in use may have changed.
+        """
+        leaving = self.flows.leaving(self._leaving)
+        if leaving == self._leaving:
+            return False
+        self._leaving = leaving
+        self._groups.clear()
+        return True
+
     def load_estimate(self, node: NodeId, now_ms: float) -> LoadEstimate:
         """Return the load estimate by which a node is selected."""
         candidate = self._candidates.get(node)
@@ -409,5 +422,10 @@
             # The group of all versions is the same, and ranking is costly.
             return self._group(service, VersionName(""))
         return make_group(
-            candidates, version, self.configuration, self.data_centre, self.node
+            candidates,
+            version,
+            self.configuration,
+            self.data_centre,
+            self.node,
+            service in self._leaving,
         )
--- a/cicadawheel/entry/subset.py
+++ b/cicadawheel/entry/subset.py
@@ -22,6 +22,10 @@
 """Maximum of upstreams in other data centres, if there are enough near ones. Of eight
 that are each slow a third of the time, all are slow in only 1 of 6,000 cases."""
 
+FAR_STANDBY = 4
+"""Maximum of those while the own data centre suffices. They take the first calls that
+leave, and all of them are slow in 1 of 80 cases only."""
+
 RANKS_KEPT = 8_192
 """Above the number of nodes of a deployment, which are ranked at each change."""
 
@@ -33,6 +37,7 @@
     candidates: Sequence[Candidate],
     node: NodeId,
     distance_ms: Callable[[Candidate], float],
+    wide: bool = True,
 ) -> list[Candidate]:
     """Return the candidates that an entry uses.
 
@@ -48,13 +53,16 @@
         The entry's own node, whose upstream is always included.
     distance_ms : callable
         The distance of a candidate; 0 in the own data centre.
+    wide : bool
+        Whether calls leave the own data centre, so that more distant ones are of use.
     """
     if len(candidates) <= MIN_SUBSET_SIZE:
         return list(candidates)
     ranked = sorted(candidates, key=lambda one: _rank(one.member.node, node))
     near = [one for one in ranked if not distance_ms(one)][:NEAR_LIMIT]
     far = [one for one in ranked if distance_ms(one)]
-    return near + far[: max(FAR_LIMIT, MIN_SUBSET_SIZE - len(near))]
+    far_limit = FAR_LIMIT if wide else FAR_STANDBY
+    return near + far[: max(far_limit, MIN_SUBSET_SIZE - len(near))]
 
 
 @functools.lru_cache(maxsize=RANKS_KEPT)
--- a/test/locality_fleet.py
+++ b/test/locality_fleet.py
@@ -5,6 +5,7 @@
 
 from news_fleet import TARGET_MS, WORK_MS, NewsFleet, make_member
 
+from cicadawheel.entry.locality import REPORT_INTERVAL_MS
 from cicadawheel.entry.placement import CallProfile
 from cicadawheel.messages import RefusalReason
 
@@ -47,6 +48,21 @@
         entries = [one for one in self.routers if one.data_centre == centre]
         return self.draw.choice(entries)
 
+    def run(self, calls_per_s, seconds):
+        self.at(REPORT_INTERVAL_MS, self.review)
+        return super().run(calls_per_s, seconds)
+
+    def review(self, now_ms):
+        """Let each entry change the upstreams that it hears of."""
+        for router in self.routers:
+            if router.review_subsets():
+                for heard in self.listeners.values():
+                    if router in heard:
+                        heard.remove(router)
+                for member in router.used_members():
+                    self.listeners[member.node].append(router)
+        self.at(now_ms + REPORT_INTERVAL_MS, self.review)
+
     def _arrive(self, calls_per_s, now_ms):
         self.arrivals[int(now_ms / BUCKET_MS)] += 1
         super()._arrive(calls_per_s, now_ms)
