--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -258,6 +258,7 @@
         outer = self.gate.repeats.runs.outer(plan.request)
         if outer is not None:
             plan = plan_nested(plan, outer, now_ms)
+            self.metrics.count_nested(plan.service, plan.spent_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
         reserve.record_request(reserve_rank(plan.priority, plan.spent_ms), now_ms)
         within = self.gate.repeats.is_within(plan.request)
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -16,6 +16,7 @@
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.health import HealthReader, HealthReport, read_load
 from cicadawheel.gate.load_publisher import LoadPublisher
+from cicadawheel.gate.refusals import GateRefusals
 from cicadawheel.gate.repeat_budget import RepeatBudgetReport
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.reported_admission import ReportedAdmission
@@ -107,6 +108,7 @@
             node, self.pool, self.clock, self._upstream_died, self._refuse_waiting
         )
         self.repeats = GateRepeats(self.clock)
+        self.refusals = GateRefusals()
         self.reports = ReportReader(ReportWatch(settings))
         self._restarts_logged = 0
         self._suspicions_logged = 0
@@ -230,6 +232,7 @@
         if refusal is None and not self.repeats.offer(ticket, call):
             refusal = RefusalReason.RETRY_BUDGET
         if refusal is not None:
+            self.refusals.add(gate_call.kind, refusal)
             gate_call.refuse(refusal, not_run=True)
             return gate_call
         target_ms = call.target_ms
@@ -450,6 +453,7 @@
             if decision.verdict is Verdict.ADMIT:
                 call.admit()
             elif decision.verdict is Verdict.REFUSE:
+                self.refusals.add(call.kind, decision.reason)
                 call.refuse(decision.reason, not_run=True)
 
 
--- a/cicadawheel/gate/repeats.py
+++ b/cicadawheel/gate/repeats.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from cicadawheel.gate.repeat_budget import RepeatBudget, RepeatBudgetReport
-from cicadawheel.gate.repeat_need import RepeatNeeds
+from cicadawheel.gate.repeat_need import RepeatNeed, RepeatNeeds
 from cicadawheel.gate.runs import RUN_ID_SEPARATOR, Runs, request_kind
 from cicadawheel.ids import RequestId, ServiceName
 from cicadawheel.logs import log_event
@@ -23,6 +23,7 @@
 REFUSED = "refused"
 
 CountRepeat = Callable[[ServiceName, Repeat, str], None]
+CountNeed = Callable[[ServiceName, RepeatNeed, str], None]
 
 
 class RepeatedRuns:
@@ -62,6 +63,7 @@
         self.clock = clock
         self.budget: RepeatBudget | None = None
         self.count: CountRepeat = _discard_count
+        self.count_need: CountNeed = _discard_count
         self.runs = Runs()
         self._needs = RepeatNeeds()
         self._runs = RepeatedRuns()
@@ -88,7 +90,7 @@
         if not self._is_in_vain(call, now_ms) and self.budget.reserve(now_ms, part):
             self._reserved.add(ticket)
             return True
-        self.count(call.service, call.repeat, REFUSED)
+        self._count(call, REFUSED)
         log_event(log, "repeat_refused", **self._fields(call))
         return False
 
@@ -111,7 +113,7 @@
             self._reserved.remove(ticket)
             self.budget.spend(now_ms)
         self._runs.add(call.request, expires_at_ms, now_ms)
-        self.count(call.service, call.repeat, SENT)
+        self._count(call, SENT)
         log_event(log, "repeat_sent", **self._fields(call))
 
     def ended(self, ticket: int) -> None:
@@ -135,6 +137,10 @@
             return None
         return self.budget.report(self.clock.now_ms())
 
+    def _count(self, call: CallOpen, outcome: str) -> None:
+        self.count(call.service, call.repeat, outcome)
+        self.count_need(call.service, self._needs.need(call), outcome)
+
     def _fields(self, call: CallOpen) -> dict[str, Any]:
         report = self.report()
         known = {} if report is None else msgspec.structs.asdict(report)
@@ -148,5 +154,7 @@
         }
 
 
-def _discard_count(service: ServiceName, cause: Repeat, outcome: str) -> None:
+def _discard_count(
+    service: ServiceName, cause: Repeat | RepeatNeed, outcome: str
+) -> None:
     """Discard the count; used without metrics."""
--- a/cicadawheel/metrics.py
+++ b/cicadawheel/metrics.py
@@ -61,6 +61,30 @@
             ["service", "cause", "outcome"],
             registry=self.registry,
         )
+        self.repeats_by_need = Counter(
+            "cicadawheel_repeats_by_need",
+            "Repeats at this gate, by service, who needs them and outcome.",
+            ["service", "need", "outcome"],
+            registry=self.registry,
+        )
+        self.gate_refusals = Counter(
+            "cicadawheel_gate_refusals",
+            "Requests that this gate refused, by kind and reason.",
+            ["kind", "reason"],
+            registry=self.registry,
+        )
+        self.nested_calls = Counter(
+            "cicadawheel_nested_calls",
+            "Calls that the upstream of this node made while it ran a request.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.nested_spent_seconds = Counter(
+            "cicadawheel_nested_spent_seconds",
+            "Work done for the outer requests at the time of these calls.",
+            ["service"],
+            registry=self.registry,
+        )
         self.gate_limit = Gauge(
             "cicadawheel_gate_limit",
             "Requests that the gate lets its upstream have now.",
@@ -102,6 +126,19 @@
         """Count a repeat that this gate sent on or refused."""
         self.repeats.labels(service, cause.value, outcome).inc()
 
+    def count_repeat_need(self, service: ServiceName, need: Enum, outcome: str) -> None:
+        """Count a repeat by who needs it."""
+        self.repeats_by_need.labels(service, need.value, outcome).inc()
+
+    def count_gate_refusal(self, kind: str, reason: Enum) -> None:
+        """Count a request that this gate refused."""
+        self.gate_refusals.labels(kind, reason.value).inc()
+
+    def count_nested(self, service: ServiceName, spent_ms: float) -> None:
+        """Count a nested call and the work behind it."""
+        self.nested_calls.labels(service).inc()
+        self.nested_spent_seconds.labels(service).inc(spent_ms / MS_PER_S)
+
     def count_probe(self, size_bytes: float) -> None:
         """Count a probe and the bytes that it used."""
         self.probes.inc()
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -164,6 +164,8 @@
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
         self.gate.publisher.listeners.add(partial(self.entry.observe, self.node))
         self.gate.repeats.count = self.metrics.count_repeat
+        self.gate.repeats.count_need = self.metrics.count_repeat_need
+        self.gate.refusals.count = self.metrics.count_gate_refusal
         if settings.entry.has_retry_budget:
             self.gate.repeats.budget = RepeatBudget(
                 settings.entry.retry_share,
--- a/test/test_competing_kinds.py
+++ b/test/test_competing_kinds.py
@@ -12,9 +12,10 @@
 from cicadawheel.entry.plan import CallPlan
 from cicadawheel.gate.decision import Result, SchedulingHints, Verdict
 from cicadawheel.gate.fair_share import RankedKind, SlotShares, fair_share
+from cicadawheel.gate.refusals import KIND_LIMIT, OTHER_KIND, GateRefusals
 from cicadawheel.gate.reported_admission import ReportedAdmission
 from cicadawheel.gate.runs import Runs
-from cicadawheel.messages import CallOpen
+from cicadawheel.messages import CallOpen, RefusalReason
 
 SLOTS = 3
 SECONDS = 20.0
@@ -170,3 +171,12 @@
     assert runs.outer("4f.1").ticket == 8
     runs.end(8)
     assert runs.outer("4f.1") is None
+
+
+def test_refusals_are_counted_for_few_kinds():
+    refusals, counted = GateRefusals(), Counter()
+    refusals.count = lambda kind, reason: counted.update([kind])
+    for number in range(2 * KIND_LIMIT):
+        refusals.add(f"GET {number}", RefusalReason.BUSY)
+    assert len(counted) == KIND_LIMIT + 1
+    assert counted[OTHER_KIND] == KIND_LIMIT
