Slow VMs have no room for calls that can go elsewhere

Cause: a call stayed in its data centre at an upstream that was seven times slower than usual, as it still expected to meet its target there; the slow period then lasted longer.

Change: from twice the usual service time on an upstream isn't one that bears a call in time, near or far; if none bears it, the cost decides as before.

--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -59,6 +59,10 @@
 """The cost of a failure in work times. At an upstream that fails half of its requests
 it is that of a short queue: such an upstream is better than a refusal."""
 
+SLOW_FACTOR = 2.0
+"""A VM that is this much slower than usual has no room for calls that can go elsewhere:
+its slow period may last for longer than the time that a call has left."""
+
 TIE_FACTOR = 1.05
 """Costs within this factor count as equal, so that entries don't herd."""
 
@@ -250,7 +254,8 @@
 
 def _is_quick(option: Option, profile: CallProfile) -> bool:
     spread_ms = WORK_SPREAD * profile.work_ms
-    return option.time_ms + spread_ms <= profile.target_ms
+    slow = option.candidate.slowness >= SLOW_FACTOR
+    return not slow and option.time_ms + spread_ms <= profile.target_ms
 
 
 def _room(candidate: Candidate, profile: CallProfile) -> float:
