--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -59,7 +59,7 @@
 )
 from cicadawheel.metrics import NodeMetrics
 from cicadawheel.release.chooser import VersionChoice
-from cicadawheel.reserve import SlotReserve, reserve_rank
+from cicadawheel.reserve import SlotReserve
 from cicadawheel.settings import EntrySettings
 from cicadawheel.timer import Clock
 
@@ -272,7 +272,7 @@
             plan = plan_nested(plan, outer, now_ms)
             self.metrics.count_nested(plan.service, plan.spent_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
-        reserve.record_request(reserve_rank(plan.priority, plan.spent_ms), now_ms)
+        reserve.record_request(plan.priority, now_ms)
         within = self.gate.repeats.is_within(plan.request)
         call = EntryCall(self, connection, request, plan, within)
         self.calls.add(call)
@@ -437,8 +437,7 @@
         self, plan: CallPlan, body_bytes: int = 0, target_ms: float = 0.0
     ) -> CallProfile:
         reserve = self._reserves.get(plan.service)
-        rank = reserve_rank(plan.priority, plan.spent_ms)
-        usable_part = 1.0 if reserve is None else reserve.usable_part(rank)
+        usable_part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
         answer_bytes = self.answer_sizes.usual_bytes(plan.route)
         return CallProfile(
             self.work_times.usual_ms(plan.route),
--- a/cicadawheel/gate/fair_share.py
+++ b/cicadawheel/gate/fair_share.py
@@ -14,6 +14,14 @@
 
 import msgspec
 
+NESTED_LEAD = 0.5
+"""By how much nested calls rank before requests of callers of the same priority."""
+
+
+def queue_rank(priority: int, spent_ms: float) -> float:
+    """Return the rank of a request; ``spent_ms`` is 0 if it isn't a nested call."""
+    return priority - NESTED_LEAD if spent_ms else float(priority)
+
 
 class RankedKind(msgspec.Struct, frozen=True):
     """A kind of requests; only those of the same rank share slots."""
--- a/cicadawheel/gate/reported_admission.py
+++ b/cicadawheel/gate/reported_admission.py
@@ -23,11 +23,11 @@
     SchedulingHints,
     Verdict,
 )
-from cicadawheel.gate.fair_share import RankedKind, SlotShares
+from cicadawheel.gate.fair_share import RankedKind, SlotShares, queue_rank
 from cicadawheel.gate.warm_up import WarmUpReport
 from cicadawheel.ids import BootId, Revision
 from cicadawheel.messages import LoadReport, RefusalReason
-from cicadawheel.reserve import SlotReserve, reserve_rank
+from cicadawheel.reserve import SlotReserve
 from cicadawheel.slowness import remaining_ms
 
 COLD_WINDOW_MS = 1_000.0
@@ -64,6 +64,7 @@
 
 class _QueuedRequest(msgspec.Struct):
     ticket: int
+    priority: int
     deadline_at_ms: float
     target_at_ms: float
     work_ms: float
@@ -182,15 +183,16 @@
             return Decision(ticket, Verdict.REFUSE, self.closed_reason)
         waiting = _QueuedRequest(
             ticket,
+            hints.priority,
             deadline_at_ms,
             hints.target_at_ms or deadline_at_ms,
             hints.work_ms or self.work_ms,
             alone,
             self.slowness,
             hints.spent_ms,
-            RankedKind(reserve_rank(hints.priority, hints.spent_ms), kind),
+            RankedKind(queue_rank(hints.priority, hints.spent_ms), kind),
         )
-        self._reserve.record_request(waiting.kind.rank, now_ms)
+        self._reserve.record_request(waiting.priority, now_ms)
         ahead = self._ahead_of(waiting, now_ms)
         if not ahead and self._has_room(waiting, now_ms):
             self._admit(waiting, now_ms)
@@ -379,7 +381,7 @@
         return min(1.0, max(usable, 1.0) / self.slots)
 
     def _has_room(self, waiting: _QueuedRequest, now_ms: float) -> bool:
-        usable = self._reserve.usable(waiting.kind.rank, max(1, self.slots))
+        usable = self._reserve.usable(waiting.priority, max(1, self.slots))
         if len(self._admitted) >= usable:
             return False
         if self._is_cold(now_ms) and not self._cold_rate_allows(now_ms):
--- a/cicadawheel/reserve.py
+++ b/cicadawheel/reserve.py
@@ -19,43 +19,35 @@
 HALF_LIFE_S = 3.0
 """The half-life of the request counts."""
 
-NESTED_LEAD = 0.5
-"""By how much nested calls rank before requests of callers of the same priority."""
-
-
-def reserve_rank(priority: int, spent_ms: float) -> float:
-    """Return the rank of a request; ``spent_ms`` is 0 if it isn't a nested call."""
-    return priority - NESTED_LEAD if spent_ms else float(priority)
-
 
 class SlotReserve:
-    """Limits the slots that requests of each rank may use.
+    """Limits the slots that requests of each priority may use.
 
-    The rank is the priority, or that of `reserve_rank`. Rank 0 is served first.
+    Priority 0 is served first.
     """
 
     def __init__(self):
-        self._counts: dict[float, float] = {}
+        self._counts: dict[int, float] = {}
         self._at_ms = 0.0
 
-    def record_request(self, rank: float, now_ms: float) -> None:
+    def record_request(self, priority: int, now_ms: float) -> None:
         """Count a request."""
         self._decay(now_ms)
-        self._counts[rank] = self._counts.get(rank, 0.0) + 1.0
+        self._counts[priority] = self._counts.get(priority, 0.0) + 1.0
 
-    def usable(self, rank: float, slots: int) -> int:
-        """Return how many of the slots a request of this rank may use."""
-        if slots < MIN_SLOTS or not self._must_yield(rank):
+    def usable(self, priority: int, slots: int) -> int:
+        """Return how many of the slots a request of this priority may use."""
+        if slots < MIN_SLOTS or not self._must_yield(priority):
             return slots
         return slots - max(1, int(slots * RESERVED_PART))
 
-    def usable_part(self, rank: float) -> float:
-        """Return the share of the slots that requests of this rank may use."""
-        return 1.0 - RESERVED_PART if self._must_yield(rank) else 1.0
+    def usable_part(self, priority: int) -> float:
+        """Return the share of the slots that requests of this priority may use."""
+        return 1.0 - RESERVED_PART if self._must_yield(priority) else 1.0
 
-    def _must_yield(self, rank: float) -> bool:
+    def _must_yield(self, priority: int) -> bool:
         total = sum(self._counts.values())
-        higher = sum(count for one, count in self._counts.items() if one < rank)
+        higher = sum(count for rank, count in self._counts.items() if rank < priority)
         return higher > SHARE_MIN * total
 
     def _decay(self, now_ms: float) -> None:
