Requests that wait on a connection begin in one loop

Cause: each call that was refused as it began let the next one begin within it, so the depth of calls grew with requests_ahead_limit; a request that was refused while it waited still held back those behind it; and bytes could be read after the connection had ended.

Change: one loop begins them; an answered request holds nobody back; nothing is read once the connection ends.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -103,6 +103,7 @@
         self._sends_ahead = False
         self._transport: asyncio.Transport | None = None
         self._processing_events = False
+        self._starting = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection, or respond with 503 if there are too many."""
@@ -231,11 +232,7 @@
         while self._requests and self._requests[0].answered:
             if not self._finish_first():
                 return
-        for waiting in self._order.startable(self._requests):
-            # Another one that begins and is answered at once may have begun it.
-            if waiting.waits and waiting.owner is not None:
-                waiting.waits = False
-                waiting.owner.begin()
+        self._start_waiting()
         if self._processing_events:
             return
         if self._http.trailing_data[0]:
@@ -253,6 +250,21 @@
         else:
             self._transport.resume_reading()
 
+    def _start_waiting(self) -> None:
+        """Begin the calls that no longer wait for earlier ones.
+
+        One that is answered at once may let further ones begin, in the same loop.
+        """
+        if self._starting:
+            return
+        self._starting = True
+        try:
+            while waiting := self._order.startable(self._requests):
+                waiting[0].waits = False
+                waiting[0].owner.begin()
+        finally:
+            self._starting = False
+
     def _make_http(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._head_limit_bytes
@@ -387,6 +399,8 @@
 
     def _may_read(self) -> bool:
         """Return whether the next event may be read; prepare to read the next head."""
+        if self.state in (ConnectionState.LINGERING, ConnectionState.ENDING):
+            return False
         if self._http.their_state is h11.SEND_BODY:
             return self._receives_body()
         if self._requests and not self._may_read_ahead():
--- a/cicadawheel/http/caller_request.py
+++ b/cicadawheel/http/caller_request.py
@@ -188,13 +188,15 @@
     def abort(self) -> None:
         """End the answer so that it is seen as incomplete."""
         if not self.answered:
-            self._close()
+            self.kept.clear()
+            self._end()
             self._connection.cut(self)
 
     def lose(self) -> None:
         """End the call without an answer."""
         owner = self.owner
-        self._close()
+        self.kept.clear()
+        self._end()
         if owner is not None:
             owner.caller_lost()
 
@@ -209,11 +211,12 @@
         kept, self.kept = self.kept, bytearray()
         return bytes(kept)
 
-    def _close(self) -> None:
+    def _end(self) -> None:
         self.owner = None
         self.answered = True
         self.body_paused = False
-        self.kept.clear()
+        # One that was answered while it waited doesn't hold back others any more.
+        self.waits = self.runs_once = False
 
     def _set_body_paused(self, paused: bool) -> None:
         if not self.answered:
@@ -243,8 +246,6 @@
     def _finish(self, data: bytes) -> None:
         if data:
             self._send(data)
-        self.owner = None
-        self.answered = True
-        self.body_paused = False
+        self._end()
         discard_body(self.http)
         self._connection.request_answered(self)
--- a/test/test_requests_ahead.py
+++ b/test/test_requests_ahead.py
@@ -111,14 +111,16 @@
 
 
 def test_once_only_request_runs_alone_in_its_turn(connect):
-    connection, service, transport = connect()
-    connection.data_received(head("GET") * 2 + head("DELETE") + head("GET") * 2)
-    service.calls[1].answer()
-    assert service.started() == [0, 1]
+    connection, service, _ = connect()
+    connection.data_received((head("GET") + head("DELETE") + head("GET")) * 2)
+    assert service.started() == [0]
     service.calls[0].answer()
-    assert service.started() == [0, 1, 2]
-    service.calls[2].answer()
-    assert service.started() == [0, 1, 2, 3, 4]
+    assert service.started() == [0, 1]
+    service.calls[1].answer()
+    assert service.started() == [0, 1, 2, 3]
+    # It is refused, as its deadline passes.
+    service.calls[4].answer()
+    assert service.started() == [0, 1, 2, 3, 5]
 
 
 def test_caller_that_leaves_ends_all_its_calls(connect):
@@ -222,6 +224,14 @@
     assert b"refused" not in transport.written
 
 
+def test_request_behind_one_that_closes_is_not_read(connect):
+    connection, service, transport = connect()
+    connection.data_received(head("GET", Connection="close") + head("GET"))
+    service.calls[0].answer()
+    assert len(service.calls) == 1
+    assert transport.closed
+
+
 def test_node_serves_requests_ahead_over_sockets(on_site):
     async def work(site):
         async with Caller(site.nodes[0]) as caller:
