Requests of a caller that doesn't read its answers wait

Cause: an answer that was sent whole was written to the connection's buffer whether or not the caller read it, and the next request was read. A caller that sends ahead without reading made the buffer grow without a limit.

Change: no further request is read while the caller doesn't read and ahead_limit_bytes of answers are unsent; it is once the buffer has drained.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -131,7 +131,7 @@
             return
         if self.state in (ConnectionState.LINGERING, ConnectionState.ENDING):
             if now_s - self._idle_since_s > LINGER_TIMEOUT_S:
-                self._transport.close()
+                self._close()
             return
         if self.state is not ConnectionState.IDLE:
             return
@@ -142,7 +142,7 @@
         if head_started_s is not None and now_s - head_started_s > head_timeout_s:
             self._refuse(REQUEST_TIMEOUT_STATUS, "the request's head took too long")
         elif head_started_s is None and now_s - self._idle_since_s > idle_timeout_s:
-            self._transport.close()
+            self._close()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side."""
@@ -176,6 +176,7 @@
         self.writable = True
         if self._requests and self._requests[0].owner is not None:
             self._requests[0].owner.caller_writable()
+        self._read_on()
 
     def respond(self, status: int, headers: tuple[Header, ...], body: bytes) -> None:
         """Answer the first request with a complete response."""
@@ -233,23 +234,27 @@
             if not self._finish_first():
                 return
         self._start_waiting()
-        if self._processing_events:
-            return
-        if self._http.trailing_data[0]:
-            self._process_events()
-        else:
-            self.update_reading()
-        self._close_if_idle()
+        self._read_on()
 
     def update_reading(self) -> None:
         """Pause reading while what has been received can't be processed."""
         if self._transport is None:
             return
-        if self._requests and self._is_full():
+        if (self._requests or not self.writable) and self._is_full():
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
 
+    def _read_on(self) -> None:
+        """Process received bytes that had to wait."""
+        if self._processing_events or self._transport is None:
+            return
+        if self._http.trailing_data[0]:
+            self._process_events()
+        else:
+            self.update_reading()
+        self._close_if_idle()
+
     def _start_waiting(self) -> None:
         """Begin the calls that no longer wait for earlier ones.
 
@@ -343,7 +348,7 @@
         if not self._closes_when_idle or self.state is not ConnectionState.IDLE:
             return
         if self._transport is not None and not has_unread_bytes(self._transport):
-            self._transport.close()
+            self._close()
 
     def _linger(self, last: CallerRequest) -> None:
         """Discard the unread rest of a request body before closing the connection.
@@ -365,7 +370,7 @@
         `LINGER_TIMEOUT_S` passes.
         """
         if not self._sends_ahead:
-            self._transport.close()
+            self._close()
             return
         self.state = ConnectionState.ENDING
         self._idle_since_s = asyncio.get_running_loop().time()
@@ -374,10 +379,15 @@
             self._transport.write_eof()
         self._transport.resume_reading()
 
+    def _close(self) -> None:
+        """Close the connection once all answers are passed to the kernel."""
+        self.state = ConnectionState.ENDING
+        self._transport.close()
+
     def _discard_body(self) -> None:
         discard_body(self._http)
         if self._http.their_state is not h11.SEND_BODY:
-            self._transport.close()
+            self._close()
 
     def _process_events(self) -> None:
         self._processing_events = True
@@ -394,7 +404,7 @@
     def _time_partial_head(self) -> None:
         if self.state is not ConnectionState.IDLE or self._head_started_s is not None:
             return
-        if self._http.trailing_data[0]:
+        if self.writable and self._http.trailing_data[0]:
             self._head_started_s = asyncio.get_running_loop().time()
 
     def _may_read(self) -> bool:
@@ -403,6 +413,8 @@
             return False
         if self._http.their_state is h11.SEND_BODY:
             return self._receives_body()
+        if not self.writable and not self._order.has_room(self.unsent_bytes()):
+            return False
         if self._requests and not self._may_read_ahead():
             return False
         if self._http.their_state is not h11.DONE:
@@ -442,7 +454,7 @@
             if request.owner is not None:
                 request.owner.body_ended()
         else:
-            self._transport.close()
+            self._close()
             return False
         return True
 
--- a/test/test_requests_ahead.py
+++ b/test/test_requests_ahead.py
@@ -58,9 +58,10 @@
     """Transport that records whether reading is paused and its own side has ended."""
 
     paused = ended = False
+    unsent_bytes = 0
 
     def get_write_buffer_size(self):
-        return 0
+        return self.unsent_bytes
 
     def pause_reading(self):
         self.paused = True
@@ -200,6 +201,19 @@
     assert len(service.calls) == 3
 
 
+def test_requests_of_a_caller_that_does_not_read_its_answers_wait(connect):
+    """Their answers were kept in memory without a limit."""
+    connection, service, transport = connect(AheadLimits(size_bytes=1_000))
+    connection.pause_writing()
+    transport.unsent_bytes = 1_000
+    connection.data_received(head("GET") * 3_000)
+    assert transport.paused
+    assert not service.calls
+    transport.unsent_bytes = 0
+    connection.resume_writing()
+    assert service.started() == list(range(DEFAULT_LIMITS.requests))
+
+
 def test_body_behind_is_read_within_the_limits_before_its_call_starts(connect):
     connection, service, transport = connect(AheadLimits(size_bytes=60))
     fields = {"Content_Length": 90, "Expect": "100-continue"}
