--- a/test/test_requests_ahead.py
+++ b/test/test_requests_ahead.py
@@ -58,9 +58,10 @@
     """Transport that records whether reading is paused and its own side has ended."""
 
     paused = ended = False
+    unsent_bytes = 0
 
     def get_write_buffer_size(self):
-        return 0
+        return self.unsent_bytes
 
     def pause_reading(self):
         self.paused = True
@@ -111,14 +112,16 @@
 
 
 def test_once_only_request_runs_alone_in_its_turn(connect):
-    connection, service, transport = connect()
-    connection.data_received(head("GET") * 2 + head("DELETE") + head("GET") * 2)
-    service.calls[1].answer()
-    assert service.started() == [0, 1]
+    connection, service, _ = connect()
+    connection.data_received((head("GET") + head("DELETE") + head("GET")) * 2)
+    assert service.started() == [0]
     service.calls[0].answer()
-    assert service.started() == [0, 1, 2]
-    service.calls[2].answer()
-    assert service.started() == [0, 1, 2, 3, 4]
+    assert service.started() == [0, 1]
+    service.calls[1].answer()
+    assert service.started() == [0, 1, 2, 3]
+    # It is refused, as its deadline passes.
+    service.calls[4].answer()
+    assert service.started() == [0, 1, 2, 3, 5]
 
 
 def test_caller_that_leaves_ends_all_its_calls(connect):
@@ -198,6 +201,19 @@
     assert len(service.calls) == 3
 
 
+def test_requests_of_a_caller_that_does_not_read_its_answers_wait(connect):
+    """Their answers were kept in memory without a limit."""
+    connection, service, transport = connect(AheadLimits(size_bytes=1_000))
+    connection.pause_writing()
+    transport.unsent_bytes = 1_000
+    connection.data_received(head("GET") * 3_000)
+    assert transport.paused
+    assert not service.calls
+    transport.unsent_bytes = 0
+    connection.resume_writing()
+    assert service.started() == list(range(DEFAULT_LIMITS.requests))
+
+
 def test_body_behind_is_read_within_the_limits_before_its_call_starts(connect):
     connection, service, transport = connect(AheadLimits(size_bytes=60))
     fields = {"Content_Length": 90, "Expect": "100-continue"}
@@ -222,6 +238,14 @@
     assert b"refused" not in transport.written
 
 
+def test_request_behind_one_that_closes_is_not_read(connect):
+    connection, service, transport = connect()
+    connection.data_received(head("GET", Connection="close") + head("GET"))
+    service.calls[0].answer()
+    assert len(service.calls) == 1
+    assert transport.closed
+
+
 def test_node_serves_requests_ahead_over_sockets(on_site):
     async def work(site):
         async with Caller(site.nodes[0]) as caller:
