One account of what a process holds for clients; limits of the ports for small messages

Cause: http/exchange.py held up to 8 MiB for each connection at any port, kept any number of connections, and served requests that were sent ahead without a turn for others: 680 MB of 80 at the ready address, and no ordinary request there (see the tests).

Change: cicadawheel/holdings.py decides who is paused, ended or refused; its limit is a quarter of the memory that the platform states. Ports take a body limit and a number of connections, one more ends the one that has waited longest; chunks of a few bytes are refused after the first thousand; a declared length above the limit is refused at once.

--- a/cicadawheel/control/daemon.py
+++ b/cicadawheel/control/daemon.py
@@ -23,7 +23,14 @@
 from cicadawheel.control.state.quarantine import Quarantined
 from cicadawheel.control.status import describe_control
 from cicadawheel.errors import ReplicaRemovedError, StorageFullError
-from cicadawheel.http.exchange import Handler, HttpServer, serve_http
+from cicadawheel.holdings import CHECK_INTERVAL_MS, Holdings
+from cicadawheel.http.exchange import (
+    ORDER_PORT_LIMITS,
+    PROBE_PORT_LIMITS,
+    Handler,
+    HttpServer,
+    serve_http,
+)
 from cicadawheel.ids import LogIndex, ReplicaId
 from cicadawheel.logs import log_event
 from cicadawheel.operator import ControlStatus
@@ -85,6 +92,7 @@
         self.timers = timers
         self.replica = settings.replica
         self.supervisor = Supervisor("control", timers.clock)
+        self.holdings = Holdings(settings.holdings, timers.clock)
         window_ms = settings.control.claim_window_s * MS_PER_S_INT
         self.state = make_control_state(window_ms)
         self.durable_log: ReplicatedLog | None = None
@@ -129,6 +137,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set."""
+        self.timers.every(CHECK_INTERVAL_MS, self.holdings.check)
         control = self.settings.control
         identity = Identity(self.replica, "", self.settings.process.key.encode())
         streams = await serve_streams(
@@ -138,10 +147,17 @@
             _decoder,
             lambda: NodeSession(self.server),
         )
-        operators = await serve_http(control.operator_address, self._make_handler(self))
+        operators = await serve_http(
+            control.operator_address,
+            self._make_handler(self),
+            ORDER_PORT_LIMITS,
+            self.holdings,
+        )
         metrics = self.settings.process.metrics_address
         if metrics is not None:
-            metrics_server = await serve_http(metrics, make_operator_handler(self))
+            metrics_server = await serve_http(
+                metrics, make_operator_handler(self), PROBE_PORT_LIMITS, self.holdings
+            )
             self.supervisor.add("metrics", metrics_server.serve_forever)
         log_event(log, "control_started", address=control.stream_address)
         self.supervisor.add("streams", streams.serve_forever)
--- a/cicadawheel/http/exchange.py
+++ b/cicadawheel/http/exchange.py
@@ -1,7 +1,8 @@
 """HTTP client and server for small messages that are buffered whole.
 
 Used for operators' commands, announcements, health checks and dumps. Bodies are held in
-memory up to a size limit. Calls use `http.caller` and `http.upstream`, which stream.
+memory up to the size limit of their port, and counted in the account of the process.
+Calls use `http.caller` and `http.upstream`, which stream.
 """
 
 import asyncio
@@ -12,17 +13,22 @@
 import msgspec
 
 from cicadawheel.errors import CicadawheelError, ConnectionLostError, ProtocolError
-from cicadawheel.http.fields import END_OF_MESSAGE
+from cicadawheel.holdings import EndReason, HoldingKind, Holdings
+from cicadawheel.http.fields import END_OF_MESSAGE, content_length
 from cicadawheel.http.unread import has_unread_bytes
 from cicadawheel.logs import log_event
-from cicadawheel.settings import Address
-from cicadawheel.timer import MS_PER_S
+from cicadawheel.settings import Address, HoldingSettings
+from cicadawheel.timer import MS_PER_S, SystemClock
 
 log = logging.getLogger(__name__)
 
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 READ_SIZE_BYTES = 65_536
 IDLE_TIMEOUT_MS = 30_000.0
+FREE_PIECES = 1_000
+"""Number of chunks of a body whose size doesn't matter."""
+PIECE_MIN_BYTES = 16
+"""Least average size of the chunks of a body that has more than `FREE_PIECES`."""
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; charset=utf-8"
 
@@ -62,6 +68,21 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
 
 
+class PortLimits(msgspec.Struct, frozen=True):
+    """The largest body that a port accepts, and how many connections it keeps open."""
+
+    body_bytes: int = BODY_LIMIT_BYTES
+    connections: int = 256
+
+
+ORDER_PORT_LIMITS = PortLimits()
+"""Limits of a port that takes operators' commands and configurations."""
+PROBE_PORT_LIMITS = PortLimits(body_bytes=4_096, connections=64)
+"""Limits of a port whose requests have no body."""
+NOTICE_PORT_LIMITS = PortLimits(body_bytes=65_536, connections=64)
+"""Limits of a port that takes announcements of upstreams."""
+
+
 def json_answer(value: object, status: int = 200) -> HttpAnswer:
     """Return a response with a value encoded as JSON."""
     return HttpAnswer(status, msgspec.json.encode(value) + b"\n")
@@ -143,20 +164,33 @@
         connection.receive_data(await reader.read(READ_SIZE_BYTES))
 
 
-async def _read_message(connection, reader, body_limit_bytes=BODY_LIMIT_BYTES):
+async def _read_message(connection, reader, body_limit_bytes, holding=None):
     head = await _next_event(connection, reader)
     while isinstance(head, h11.InformationalResponse):
         head = await _next_event(connection, reader)
     if isinstance(head, h11.ConnectionClosed):
         return None, b""
+    if isinstance(head, h11.Request):
+        _check_body(content_length(head.headers) or 0, 0, body_limit_bytes)
     content = bytearray()
+    pieces = 0
     while True:
         event = await _next_event(connection, reader)
         if isinstance(event, h11.EndOfMessage):
             return head, bytes(content)
         content += event.data
-        if len(content) > body_limit_bytes:
-            raise h11.RemoteProtocolError("body is too long", 413)
+        pieces += 1
+        _check_body(len(content), pieces, body_limit_bytes)
+        if holding is not None:
+            holding.move(len(event.data))
+            holding.hold(len(content))
+
+
+def _check_body(size_bytes: int, pieces: int, limit_bytes: int) -> None:
+    if size_bytes > limit_bytes:
+        raise h11.RemoteProtocolError("body is too long", 413)
+    if pieces > FREE_PIECES and size_bytes < pieces * PIECE_MIN_BYTES:
+        raise h11.RemoteProtocolError("the chunks of the body are too small", 413)
 
 
 class HttpServer:
@@ -166,10 +200,16 @@
     ----------
     handler : callable
         Handles the requests.
+    limits : PortLimits
+        The limits of this port.
+    holdings : Holdings
+        The account of the process.
     """
 
-    def __init__(self, handler: Handler):
+    def __init__(self, handler: Handler, limits: PortLimits, holdings: Holdings):
         self.connections: set[ServerConnection] = set()
+        self.limits = limits
+        self.holdings = holdings
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._finishing = False
@@ -220,24 +260,49 @@
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        connection = ServerConnection(self._handler, reader, writer)
+        connection = ServerConnection(self, self._handler, reader, writer)
         if self._finishing:
             connection.finish()
         self.connections.add(connection)
+        if len(self.connections) > self.limits.connections:
+            self._end_oldest()
         try:
             await connection.serve()
         except (OSError, TimeoutError, asyncio.CancelledError):
             return
         finally:
             self.connections.discard(connection)
+            connection.holding.release()
             writer.close()
 
+    def _end_oldest(self) -> None:
+        """End the connection that has waited longest for a request or its client.
+
+        A new client isn't refused: those that were there first may stay for long.
+        """
+        waiting = [one for one in self.connections if not one.answering]
+        if waiting:
+            oldest = min(waiting, key=lambda one: one.waiting_since_s)
+            self.connections.discard(oldest)
+            log_event(
+                log,
+                "client_ended",
+                warning=True,
+                peer=oldest.peer,
+                kind=HoldingKind.EXCHANGE.value,
+                reason="too many connections",
+                limit=self.limits.connections,
+            )
+            oldest.abort()
+
 
 class ServerConnection:
     """One connection of a client, with one exchange at a time.
 
     Parameters
     ----------
+    server : HttpServer
+        The server of its port.
     handler : callable
         Handles the requests.
     reader, writer : StreamReader, StreamWriter
@@ -246,12 +311,18 @@
 
     def __init__(
         self,
+        server: HttpServer,
         handler: Handler,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ):
         self.task = asyncio.current_task()
         self.in_progress = False
+        self.answering = False
+        self.peer = str(writer.get_extra_info("peername"))
+        self.waiting_since_s = asyncio.get_running_loop().time()
+        self.holding = server.holdings.open(HoldingKind.EXCHANGE, self.peer, self)
+        self._body_limit_bytes = server.limits.body_bytes
         self._handler = handler
         self._reader = reader
         self._writer = writer
@@ -263,11 +334,29 @@
         if not self.in_progress and not has_unread_bytes(self._writer):
             self._writer.close()
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
+    def pause_holding(self) -> None:
+        """Do nothing: the stream reads no further than its own buffer."""
+
+    def resume_holding(self) -> None:
+        """Do nothing, as nothing was paused."""
+
+    def end_holding(self, reason: EndReason) -> None:
+        """Close the connection, unless its request is being handled."""
+        if not self.answering:
+            self.abort()
+
     async def serve(self) -> None:
         """Serve requests until either side closes the connection."""
         connection = h11.Connection(h11.SERVER)
         while await self._serve_exchange(connection) and not self._finishing:
             connection.start_next_cycle()
+            self.waiting_since_s = asyncio.get_running_loop().time()
+            # Requests that were sent ahead leave the others their turn.
+            await asyncio.sleep(0)
         self._writer.close()
         await self._writer.wait_closed()
 
@@ -276,18 +365,27 @@
         try:
             async with asyncio.timeout(IDLE_TIMEOUT_MS / MS_PER_S):
                 await self._wait_for_request(connection)
-                head, content = await _read_message(connection, self._reader)
+                self.holding.expect(True)
+                head, content = await _read_message(
+                    connection, self._reader, self._body_limit_bytes, self.holding
+                )
         except h11.RemoteProtocolError as error:
             answer = text_answer(f"{error}\n", error.error_status_hint)
             self._send(connection, answer)
             return False
+        self.holding.expect(False)
         if head is None:
             return False
+        self.answering = True
         answer = await _run_handler(
             self._handler, head, content, lambda: _has_ended(self._reader)
         )
+        self.answering = False
         self._send(connection, answer)
-        await self._writer.drain()
+        self.holding.hold(self._writer.transport.get_write_buffer_size())
+        async with asyncio.timeout(IDLE_TIMEOUT_MS / MS_PER_S):
+            await self._writer.drain()
+        self.holding.hold(0)
         return connection.our_state is connection.their_state is h11.DONE
 
     async def _wait_for_request(self, connection: h11.Connection) -> None:
@@ -302,12 +400,20 @@
         self._writer.write(_encode_answer(connection, answer, self._finishing))
 
 
-async def serve_http(address: Address, handler: Handler) -> HttpServer:
+async def serve_http(
+    address: Address,
+    handler: Handler,
+    limits: PortLimits = ORDER_PORT_LIMITS,
+    holdings: Holdings | None = None,
+) -> HttpServer:
     """Start an HTTP server; an error in the handler gives a response with status 500.
 
-    Invalid JSON in a request body gives status 400.
+    Invalid JSON in a request body gives status 400. Without ``holdings``, the port has
+    an account of its own.
     """
-    server = HttpServer(handler)
+    if holdings is None:
+        holdings = Holdings(HoldingSettings(), SystemClock())
+    server = HttpServer(handler, limits, holdings)
     await server.start(address)
     return server
 
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -22,10 +22,13 @@
 from cicadawheel.gate.gate import Gate, GateReport
 from cicadawheel.gate.repeat_budget import RepeatBudget
 from cicadawheel.gate.server import PeerStreams, serve_peers
+from cicadawheel.holdings import CHECK_INTERVAL_MS, Holdings
 from cicadawheel.http import caller
 from cicadawheel.http.caller import CallerConnection
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.http.exchange import (
+    NOTICE_PORT_LIMITS,
+    PROBE_PORT_LIMITS,
     Handler,
     HttpAnswer,
     HttpRequest,
@@ -122,6 +125,7 @@
             settings.process.name, self.boot, settings.process.key.encode()
         )
         self.metrics = NodeMetrics()
+        self.holdings = Holdings(settings.holdings, timers.clock)
         self.random = Random(settings.process.random_seed or None)
         self.supervisor = Supervisor("node", timers.clock)
         self.draining = False
@@ -159,6 +163,7 @@
         self._announcement_filter = AnnouncementFilter()
         timers.every(MEASURE_INTERVAL_MS, self._measure)
         timers.every(HEDGE_INTERVAL_MS, self.entry.consider_hedges)
+        timers.every(CHECK_INTERVAL_MS, self.holdings.check)
         timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
         timers.every(caller.CHECK_INTERVAL_MS, self.entry.close_idle)
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
@@ -355,15 +360,16 @@
             self.control.view.message,
             self.peer_streams,
         )
-        admin = await serve_http(addresses.admin_address, self._make_handler(self))
-        servers = [callers, nodes, admin]
-        metrics = self.settings.process.metrics_address
-        if metrics is not None:
-            servers.append(await serve_http(metrics, make_admin_handler(self)))
-        if addresses.ready_address is not None:
-            servers.append(
-                await serve_http(addresses.ready_address, self._answer_ready)
-            )
+        servers = [callers, nodes]
+        ports = (
+            (addresses.admin_address, self._make_handler(self), NOTICE_PORT_LIMITS),
+            (self.settings.process.metrics_address, make_admin_handler(self), None),
+            (addresses.ready_address, self._answer_ready, None),
+        )
+        for address, handler, limits in ports:
+            if address is not None:
+                rest = (handler, limits or PROBE_PORT_LIMITS, self.holdings)
+                servers.append(await serve_http(address, *rest))
         return servers
 
     async def _answer_ready(self, request: HttpRequest) -> HttpAnswer:
--- a/cicadawheel/platform/settings.py
+++ b/cicadawheel/platform/settings.py
@@ -14,6 +14,10 @@
 
 BOUNDS_SECTION = "bounds"
 
+HELD_SHARE = 0.25
+"""Share of a process's memory for what it holds for clients."""
+BYTES_PER_MB = 1_048_576
+
 DRAIN_MARGIN_S = 0.8
 """Draining ends this long before the platform kills the process."""
 
@@ -59,6 +63,11 @@
     if "grace_s" in bounds:
         stop_s = bounds.getfloat("grace_s") - DRAIN_MARGIN_S
         set_value("node", "drain_timeout_ms", stop_s * MS_PER_S)
+    if bounds.get("memory_mb"):
+        held_mb = bounds.getfloat("memory_mb") * HELD_SHARE
+        if not math.isfinite(held_mb):
+            raise ValueError(f"memory_mb can't be {held_mb}")
+        parser["holdings"] = {"held_bytes": str(int(held_mb * BYTES_PER_MB))}
     if "retry_budget_ratio" in bounds:
         set_value("entry", "retry_share", bounds.getfloat("retry_budget_ratio"))
     if "budget_slack" in bounds:
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -121,6 +121,14 @@
         return bool(self.retry_share or self.retry_slack)
 
 
+class HoldingSettings(msgspec.Struct, frozen=True):
+    """Section ``[holdings]``."""
+
+    held_bytes: Annotated[int, msgspec.Meta(ge=1_048_576)] = 67_108_864
+    rate_min_bytes_per_s: NonNegative = 128
+    rate_grace_ms: PositiveMs = 10_000.0
+
+
 class ControlSettings(msgspec.Struct, frozen=True):
     """Section ``[control]``."""
 
@@ -174,6 +182,7 @@
     gate: GateSettings
     entry: EntrySettings
     control: ControlSettings
+    holdings: HoldingSettings = HoldingSettings()
 
     @property
     def replica(self) -> ReplicaId:
