An answer without a length isn't complete if its end comes while the request is sent

Cause: an upstream that answers a long upload at once with a 200 without a length, sends a part and closes its side: the end of the connection completed the answer, and the caller got the part as a whole one.

Change: UpstreamConnection notes at the end whether a part of the request was still to be sent or in the write buffer; the exchange is then TRUNCATED.

Measured: test_mixed_answers.py, node with entry and gate, both interfaces. Before: the end during the upload was passed on as complete on both (own interface also with a reset after the end); a reset alone was not, as connection_lost gets its error. Statuses 000, 099, 1000, 2OO, empty and 101 unasked weren't passed on before either: the first two fail in h11's InformationalResponse (a status of 100 to 199), the next three in its status line, 101 as PAUSED in _process_event. Now 18 of 18 pass; test_upstream_answers, test_cut_answers, test_endless_answers, test_answer_framing, test_request_framing pass.

--- a/cicadawheel/http/upstream.py
+++ b/cicadawheel/http/upstream.py
@@ -115,6 +115,7 @@
         self._received_stale_response = False
         self._request: h11.Request | None = None
         self._body_bytes = 0
+        self._ended_early = False
         self.idle_since_s = 0.0
         self.idle_limit_s = math.inf
 
@@ -263,6 +264,11 @@
         if self.owner is None and self._http.their_state is h11.IDLE:
             self._abort_on_unsolicited_data()
 
+    def eof_received(self) -> None:
+        """Close the connection; note whether the request was still being sent."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        self._ended_early = self._http.our_state is h11.SEND_BODY or unsent_bytes > 0
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress, if any, and release the connection."""
         if self.owner is not None and exc is None:
@@ -286,7 +292,9 @@
     def _process_eof(self) -> None:
         self._turn_pending = False
         try:
-            self._http.receive_data(b"")
+            if not self._ended_early:
+                # An end that comes while the request is sent completes nothing.
+                self._http.receive_data(b"")
             while self.owner is not None and self._process_event():
                 pass
         except h11.RemoteProtocolError:
