Callers and calls at a gate are in the account of held bytes

Cause: 100 clients held 103 to 121 MB of 80 at a route (bodies that stop short, answers unread), kept ordinary requests from a path without a route by chunks of one byte, and from all places by requests sent ahead: answers were written without asking whether anybody takes them, and one read of 256 KiB was handled in one turn.

Change: CallerConnection reports to the account, pauses and ends as it says, reads no further request while answers aren't taken, and handles 200 events a turn; parsers give up what is behind their request. 400 fields a head, and chunks of 16 bytes on average after the first thousand. The gate counts bodies and replies that it holds, and refuses a call before it runs when the process is full. Metrics show the account.

--- a/cicadawheel/control/daemon.py
+++ b/cicadawheel/control/daemon.py
@@ -23,6 +23,7 @@
 from cicadawheel.control.state.quarantine import Quarantined
 from cicadawheel.control.status import describe_control
 from cicadawheel.errors import ReplicaRemovedError, StorageFullError
+from cicadawheel.holding_metrics import register_holdings
 from cicadawheel.holdings import CHECK_INTERVAL_MS, Holdings
 from cicadawheel.http.exchange import (
     ORDER_PORT_LIMITS,
@@ -97,6 +98,7 @@
         self.state = make_control_state(window_ms)
         self.durable_log: ReplicatedLog | None = None
         self.metrics = ControlMetrics()
+        register_holdings(self.metrics.registry, self.holdings)
         self.server = self._make_server()
 
     def status(self) -> ControlStatus:
--- a/cicadawheel/entry/body.py
+++ b/cicadawheel/entry/body.py
@@ -66,12 +66,18 @@
         """Take a chunk from the caller."""
         if not self.ready:
             self.beginning += data
+            self._report_held()
             return
         self._waiting += data
         self._send()
+        self._report_held()
         if len(self._waiting) >= self.buffer_bytes:
             self.connection.pause_body()
 
+    def _report_held(self) -> None:
+        held_bytes = len(self.beginning) + len(self._waiting)
+        self.connection.body_held_bytes = held_bytes
+
     def receive_end(self) -> None:
         """Mark the body as complete."""
         self.complete = True
@@ -122,6 +128,7 @@
         del self._waiting[: len(chunk)]
         self._credit_bytes -= len(chunk)
         self.replayable = False
+        self._report_held()
         self._handle.receive(Body(self._handle.stream, chunk))
         if not self.complete and len(self._waiting) < self.buffer_bytes:
             self.connection.resume_body()
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -16,8 +16,10 @@
 )
 from cicadawheel.gate.decision import Result
 from cicadawheel.gate.guard import CrashGuard
+from cicadawheel.gate.holding import CallHolding
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.reported_admission import ReportedAdmission
+from cicadawheel.holdings import Holdings
 from cicadawheel.http.dialect import Dialect
 from cicadawheel.http.fields import (
     ResponseHead,
@@ -85,6 +87,7 @@
     repeats: GateRepeats
     admission: Admission | ReportedAdmission
     announcement: Announcement | None
+    holdings: Holdings
 
     def load(self) -> LoadReport:
         """Return the current load of the upstream."""
@@ -158,6 +161,7 @@
         self._reply_parts: list[bytes] = []
         self._reply_buffered_bytes = 0
         self._head_sent = False
+        self._holding = CallHolding(gate.holdings, self, call.request)
         self._reply_room_bytes = gate.settings.body_buffer_bytes
         delay_s = call.deadline_ms / MS_PER_S
         self._timer = asyncio.get_running_loop().call_later(
@@ -191,6 +195,15 @@
         if self.state is not CallState.ENDED:
             self._refuse(reason, not_run, Result.FAILED)
 
+    def count_held(self) -> None:
+        """Count the body that came with the call, which may be refused for it."""
+        self._holding.update(len(self.call.body))
+
+    def refuse_held(self, reason: RefusalReason) -> None:
+        """Refuse the call, as what it holds has to go."""
+        not_run = self.state in (CallState.WAITING, CallState.CONNECTING)
+        self.refuse(reason, not_run)
+
     def connected(self, connection: UpstreamConnection) -> None:
         """Send the request on an open connection."""
         self._connecting = None
@@ -216,6 +229,7 @@
             return
         self._return_credit(sum(map(len, self._request_parts)))
         self._request_parts.clear()
+        self._holding.update(len(self.call.body))
         if self.call.more and not self.call.body:
             room_bytes = self.gate.settings.body_buffer_bytes
             self.sink(Credit(self.call.stream, room_bytes))
@@ -280,11 +294,15 @@
                 self.end_exchange(ExchangeEnd.MALFORMED)
             return
         self._reply_parts.append(data)
+        self._holding.update(len(self.call.body) + self._reply_buffered_bytes)
+        if self.state is CallState.ENDED:
+            return
         if self._reply_buffered_bytes > BUFFERED_REPLY_LIMIT_BYTES:
             self._reply_room_bytes -= self._reply_buffered_bytes
             self._connection.pause()
             self._send_head(b"".join(self._reply_parts), more=True)
             self._reply_parts.clear()
+            self._holding.update(len(self.call.body))
 
     def body_ended(self) -> None:
         """Complete the call: relay the rest of the reply, or refuse."""
@@ -370,6 +388,8 @@
     def _take_body(self, data: bytes) -> None:
         if self._connection is None:
             self._request_parts.append(data)
+            parts_bytes = sum(map(len, self._request_parts))
+            self._holding.update(len(self.call.body) + parts_bytes)
             return
         self._connection.send_body(data)
         self._request_bytes_taken += len(data)
@@ -421,6 +441,7 @@
     def _end(self, result: Result) -> None:
         self.state = CallState.ENDED
         self._timer.cancel()
+        self._holding.release()
         if self._connecting is not None:
             self._connecting.cancel()
         if self._connection is not None:
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -21,6 +21,7 @@
 from cicadawheel.gate.reported_admission import ReportedAdmission
 from cicadawheel.gate.reports import ReportReader, ReportWatch
 from cicadawheel.gate.suspects import SuspectReport
+from cicadawheel.holdings import Holdings
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.http.fields import ResponseHead, find_field
 from cicadawheel.http.upstream import UpstreamPool
@@ -39,7 +40,7 @@
     RefusalReason,
     ReplySink,
 )
-from cicadawheel.settings import Address, GateSettings
+from cicadawheel.settings import Address, GateSettings, HoldingSettings
 from cicadawheel.timer import Clock, TimerService
 
 log = logging.getLogger(__name__)
@@ -103,6 +104,7 @@
             self._health = HealthReader(
                 dialect, self._health_received, self._connections_doubted, self.pool
             )
+        self.holdings = Holdings(HoldingSettings(), timers.clock)
         self.guard = CrashGuard(
             node, self.pool, self.clock, self._upstream_died, self._refuse_waiting
         )
@@ -232,6 +234,9 @@
         if refusal is not None:
             gate_call.refuse(refusal, not_run=True)
             return gate_call
+        gate_call.count_held()
+        if gate_call.state is CallState.ENDED:
+            return gate_call
         target_ms = call.target_ms
         target_at_ms = now_ms + target_ms if target_ms else 0.0
         hints = SchedulingHints(
@@ -328,6 +333,8 @@
             return RefusalReason.WRONG_SERVICE
         if call.version and announced.version != call.version:
             return RefusalReason.WRONG_SERVICE
+        if not self.holdings.admits(has_body=call.more):
+            return RefusalReason.OVERLOAD
         return None
 
     def upstream_shed(self, request: RequestId, response: ResponseHead) -> None:
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -10,8 +10,20 @@
 import h11
 
 from cicadawheel.configuration import CallerLimits
-from cicadawheel.http.caller_request import CallerRequest, CallOwner, discard_body
-from cicadawheel.http.fields import RequestHead, content_length, read_request
+from cicadawheel.holdings import EndReason, Holding, HoldingKind, Holdings
+from cicadawheel.http.caller_request import (
+    CallerRequest,
+    CallOwner,
+    RequestParser,
+    discard_body,
+)
+from cicadawheel.http.fields import (
+    RequestHead,
+    content_length,
+    has_body,
+    read_request,
+)
+from cicadawheel.http.pieces import FIELDS_LIMIT, too_small
 from cicadawheel.http.run_order import DEFAULT_LIMITS, AheadLimits, RunOrder
 from cicadawheel.http.unread import has_unread_bytes
 from cicadawheel.logs import log_event
@@ -30,7 +42,16 @@
 PIPELINE_LIMIT_BYTES = 65_536
 REQUEST_TIMEOUT_STATUS = 408
 CONTENT_TOO_LARGE_STATUS = 413
+FIELDS_TOO_LARGE_STATUS = 431
 NOT_IMPLEMENTED_STATUS = 501
+UNAVAILABLE_STATUS = 503
+# Most events of the parser that are handled in one turn of the event loop. One read can
+# hold tens of thousands of tiny chunks, or thousands of requests.
+EVENTS_PER_TURN = 200
+
+
+REQUEST_OBJECTS_BYTES = 4_096
+"""What a request in progress is counted with beside its bytes."""
 
 
 class CallService(Protocol):
@@ -76,6 +97,8 @@
         Maximum size of a request head; a longer one is rejected.
     ahead : AheadLimits
         Limits on the requests that are sent before the first one is answered.
+    holdings : Holdings or None
+        The account of the process; without one, nothing is limited by it.
     """
 
     def __init__(
@@ -83,6 +106,7 @@
         service: CallService,
         head_limit_bytes: int,
         ahead: AheadLimits = DEFAULT_LIMITS,
+        holdings: Holdings | None = None,
     ):
         self.service = service
         self.state = ConnectionState.IDLE
@@ -100,6 +124,12 @@
         self._order = RunOrder(ahead)
         self._transport: asyncio.Transport | None = None
         self._processing_events = False
+        self._turn_pending = False
+        self._held_back = False
+        self._holdings = holdings
+        self._holding: Holding | None = None
+        self._written_bytes = 0
+        self._taken_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept the connection, or respond with 503 if there are too many."""
@@ -107,12 +137,17 @@
         self.peer = str(transport.get_extra_info("peername"))
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._holdings is not None:
+            kind = HoldingKind.CALLER
+            self._holding = self._holdings.open(kind, self.peer, self)
         if not self.service.connection_opened(self):
             self._refuse(503, "too many connections")
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and handle the resulting events."""
         self._http.receive_data(data)
+        if self._holding is not None and self._requests:
+            self._holding.move(len(data))
         if self.state is ConnectionState.LINGERING:
             self._discard_body()
             return
@@ -123,6 +158,7 @@
         """Close the connection if it has exceeded a head, idle or linger timeout."""
         if self._transport is None:
             return
+        self._update_holding()
         if self.state is ConnectionState.LINGERING:
             if now_s - self._idle_since_s > LINGER_TIMEOUT_S:
                 self._transport.close()
@@ -148,11 +184,29 @@
         self.writable = True
         self.state = ConnectionState.CLOSED
         self._lose_behind(0)
+        if self._holding is not None:
+            self._holding.release()
         self.service.connection_closed(self)
 
+    def pause_holding(self) -> None:
+        """Read nothing until the account has room again."""
+        self._held_back = True
+        self.update_reading()
+
+    def resume_holding(self) -> None:
+        """Read on."""
+        self._held_back = False
+        self.update_reading()
+
+    def end_holding(self, reason: EndReason) -> None:
+        """Close the connection, as its client is the one to give way."""
+        self.abort()
+
     def held_bytes(self) -> int:
         """Return the number of bytes held of received requests and of answers."""
-        return len(self._http.trailing_data[0]) + self.unsent_bytes()
+        bodies_bytes = sum(request.body_held_bytes for request in self._requests)
+        received_bytes = len(self._http.trailing_data[0])
+        return received_bytes + bodies_bytes + self.unsent_bytes()
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes of answers not yet passed to the kernel."""
@@ -170,6 +224,8 @@
         self.writable = True
         if self._requests and self._requests[0].owner is not None:
             self._requests[0].owner.caller_writable()
+        if self._transport is not None and self.state is not ConnectionState.LINGERING:
+            self._process_events()
 
     def respond(self, status: int, headers: tuple[Header, ...], body: bytes) -> None:
         """Answer the first request with a complete response."""
@@ -208,7 +264,7 @@
         """Send a part of the first answer; return False for those behind it."""
         if request is not self._requests[0]:
             return False
-        self._transport.write(data)
+        self._write(data)
         return True
 
     def cut(self, request: CallerRequest) -> None:
@@ -243,19 +299,39 @@
         """Pause reading while what has been received can't be processed."""
         if self._transport is None:
             return
-        if self._requests and self._is_full():
+        if self._held_back or self._turn_pending or self._is_full():
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
+        self._update_holding()
 
-    def _make_http(self) -> h11.Connection:
-        return h11.Connection(
+    def _update_holding(self) -> None:
+        """Tell the account what is held, and whether the client is to act now."""
+        if self._holding is None or self._transport is None:
+            return
+        unsent_bytes = self._transport.get_write_buffer_size()
+        taken_bytes = self._written_bytes - unsent_bytes
+        self._holding.move(taken_bytes - self._taken_bytes)
+        self._taken_bytes = taken_bytes
+        sends = self._receives_body() and not self._is_full()
+        self._holding.expect(sends or unsent_bytes > 0)
+        objects_bytes = len(self._requests) * REQUEST_OBJECTS_BYTES
+        self._holding.hold(self.held_bytes() + objects_bytes)
+
+    def _write(self, data: bytes) -> None:
+        self._written_bytes += len(data)
+        self._transport.write(data)
+
+    def _make_http(self) -> RequestParser:
+        return RequestParser(
             h11.SERVER, max_incomplete_event_size=self._head_limit_bytes
         )
 
     def _is_full(self) -> bool:
         if any(request.body_paused for request in self._requests):
             return True
+        if not self._requests and self.writable:
+            return False
         if not self._receives_body():
             # Reading goes on where possible, to notice a caller that leaves.
             return len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES
@@ -302,7 +378,7 @@
         """Send on an answer that has become the first one."""
         kept = first.take_kept()
         if kept:
-            self._transport.write(kept)
+            self._write(kept)
         if self._http is first.http and not first.answered:
             first.send_continue()
         for request in list(self._requests):
@@ -340,14 +416,28 @@
 
     def _discard_body(self) -> None:
         discard_body(self._http)
-        if self._http.their_state is not h11.SEND_BODY:
+        unread = self._http.their_state is h11.SEND_BODY
+        if not unread or len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
+            # The chunks of what remains are too small to be read for nothing.
             self._transport.close()
 
+    def _process_next_turn(self) -> None:
+        self._turn_pending = False
+        if self._transport is not None and self.state is not ConnectionState.LINGERING:
+            self._process_events()
+            self._close_if_idle()
+
     def _process_events(self) -> None:
+        if self._turn_pending:
+            return
         self._processing_events = True
         try:
-            while self._transport is not None and self._process_event():
-                pass
+            for _ in range(EVENTS_PER_TURN):
+                if self._transport is None or not self._process_event():
+                    break
+            else:
+                self._turn_pending = True
+                asyncio.get_running_loop().call_soon(self._process_next_turn)
         except h11.RemoteProtocolError as error:
             self._reject_malformed(error)
         finally:
@@ -358,6 +448,9 @@
     def _time_partial_head(self) -> None:
         if self.state is not ConnectionState.IDLE or self._head_started_s is not None:
             return
+        if self._turn_pending or not self.writable:
+            # What has arrived may be whole: it hasn't been read yet.
+            return
         if self._http.trailing_data[0]:
             self._head_started_s = asyncio.get_running_loop().time()
 
@@ -365,11 +458,15 @@
         """Return whether the next event may be read; prepare to read the next head."""
         if self._http.their_state is h11.SEND_BODY:
             return self._receives_body()
+        if not self.writable and not self._requests:
+            # Answers that nobody takes aren't followed by others.
+            return False
         if self._requests and not self._may_read_ahead():
             return False
         if self._http.their_state is not h11.DONE:
-            return self._http.their_state is h11.IDLE
-        received = self._http.trailing_data[0]
+            # Nothing follows a refusal that was sent before its request was read.
+            return self._http.states == {h11.CLIENT: h11.IDLE, h11.SERVER: h11.IDLE}
+        received = self._http.take_unread()
         if received:
             self._http = self._make_http()
             self._http.receive_data(received)
@@ -417,6 +514,12 @@
             return
         if self._reject_oversized_body(request, content_length(head.headers) or 0):
             return
+        if len(head.headers) > FIELDS_LIMIT:
+            request.refuse(FIELDS_TOO_LARGE_STATUS, "the request has too many fields")
+            return
+        if self._holdings and not self._holdings.admits(has_body(head.headers)):
+            request.refuse(UNAVAILABLE_STATUS, "too much is held for other requests")
+            return
         owner = self.service.begin_call(request, head)
         if not request.answered:
             request.owner = owner
@@ -425,6 +528,12 @@
         if request.answered:
             return
         request.body_bytes += len(data)
+        request.body_pieces += 1
+        if too_small(request.body_pieces, request.body_bytes):
+            reason = "the chunks of the body are too small"
+            log_event(log, "caller_refused", peer=self.peer, reason=reason)
+            self._reject(request, CONTENT_TOO_LARGE_STATUS, reason)
+            return
         if self._reject_oversized_body(request, request.body_bytes):
             return
         if request.owner is not None:
--- a/cicadawheel/http/caller_request.py
+++ b/cicadawheel/http/caller_request.py
@@ -6,6 +6,7 @@
 import h11
 
 from cicadawheel.http.fields import END_OF_MESSAGE, RequestHead, has_body
+from cicadawheel.http.pieces import FREE_PIECES
 from cicadawheel.messages import Header
 
 # States of the caller's side while its request hasn't been read whole.
@@ -21,11 +22,26 @@
     for its end is still to be read then.
     """
     with contextlib.suppress(h11.RemoteProtocolError):
-        while http.their_state is h11.SEND_BODY:
+        for _ in range(FREE_PIECES):
+            if http.their_state is not h11.SEND_BODY:
+                return
             if http.next_event() is h11.NEED_DATA:
                 return
 
 
+class RequestParser(h11.Connection):
+    """Parses one request, and frames its answer."""
+
+    def take_unread(self) -> bytes:
+        """Return what was received behind the request, and keep nothing of it.
+
+        The parser lives on until the answer is sent, and each one would hold a copy.
+        """
+        unread = bytes(self._receive_buffer)
+        self._receive_buffer = type(self._receive_buffer)()
+        return unread
+
+
 class CallOwner(Protocol):
     """Receives the request body of one call and the events of its connection."""
 
@@ -104,6 +120,8 @@
         self.answered = False
         """Whether nothing more of the answer follows: it is complete, cut or lost."""
         self.body_bytes = 0
+        self.body_pieces = 0
+        self.body_held_bytes = 0
         self.body_paused = False
         self.runs_once = False
         self.whole = head is None or not has_body(head.headers)
@@ -217,6 +235,7 @@
         self.owner = None
         self.answered = True
         self.body_paused = False
+        self.body_held_bytes = 0
         self.kept.clear()
 
     def _set_body_paused(self, paused: bool) -> None:
@@ -244,5 +263,6 @@
         self.owner = None
         self.answered = True
         self.body_paused = False
+        self.body_held_bytes = 0
         discard_body(self.http)
         self._connection.request_answered(self)
--- a/cicadawheel/http/exchange.py
+++ b/cicadawheel/http/exchange.py
@@ -15,6 +15,7 @@
 from cicadawheel.errors import CicadawheelError, ConnectionLostError, ProtocolError
 from cicadawheel.holdings import EndReason, HoldingKind, Holdings
 from cicadawheel.http.fields import END_OF_MESSAGE, content_length
+from cicadawheel.http.pieces import too_small
 from cicadawheel.http.unread import has_unread_bytes
 from cicadawheel.logs import log_event
 from cicadawheel.settings import Address, HoldingSettings
@@ -25,10 +26,6 @@
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 READ_SIZE_BYTES = 65_536
 IDLE_TIMEOUT_MS = 30_000.0
-FREE_PIECES = 1_000
-"""Number of chunks of a body whose size doesn't matter."""
-PIECE_MIN_BYTES = 16
-"""Least average size of the chunks of a body that has more than `FREE_PIECES`."""
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; charset=utf-8"
 
@@ -189,7 +186,7 @@
 def _check_body(size_bytes: int, pieces: int, limit_bytes: int) -> None:
     if size_bytes > limit_bytes:
         raise h11.RemoteProtocolError("body is too long", 413)
-    if pieces > FREE_PIECES and size_bytes < pieces * PIECE_MIN_BYTES:
+    if too_small(pieces, size_bytes):
         raise h11.RemoteProtocolError("the chunks of the body are too small", 413)
 
 
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -22,6 +22,7 @@
 from cicadawheel.gate.gate import Gate, GateReport
 from cicadawheel.gate.repeat_budget import RepeatBudget
 from cicadawheel.gate.server import PeerStreams, serve_peers
+from cicadawheel.holding_metrics import register_holdings
 from cicadawheel.holdings import CHECK_INTERVAL_MS, Holdings
 from cicadawheel.http import caller
 from cicadawheel.http.caller import CallerConnection
@@ -127,11 +128,13 @@
         )
         self.metrics = NodeMetrics()
         self.holdings = Holdings(settings.holdings, timers.clock)
+        register_holdings(self.metrics.registry, self.holdings)
         self.random = Random(settings.process.random_seed or None)
         self.supervisor = Supervisor("node", timers.clock)
         self.draining = False
         data_centre = settings.process.data_centre
         self.gate = Gate(settings.gate, data_centre, timers, self.node, dialect)
+        self.gate.holdings = self.holdings
         self.peer_streams = PeerStreams()
         self.links = PeerLinks(self.identity, settings.entry.connect_timeout_ms, self)
         control_streams = settings.node.control_streams()
@@ -351,7 +354,13 @@
         entry = self.settings.entry
         ahead = AheadLimits(entry.requests_ahead_limit, entry.ahead_limit_bytes)
         callers = await loop.create_server(
-            lambda: CallerConnection(self.entry, entry.head_limit_bytes, ahead),
+            partial(
+                CallerConnection,
+                self.entry,
+                entry.head_limit_bytes,
+                ahead,
+                self.holdings,
+            ),
             addresses.caller_address.host,
             addresses.caller_address.port,
         )
--- a/cicadawheel/platform/settings.py
+++ b/cicadawheel/platform/settings.py
@@ -14,7 +14,7 @@
 
 BOUNDS_SECTION = "bounds"
 
-HELD_SHARE = 0.25
+HELD_SHARE = 0.2
 """Share of a process's memory for what it holds for clients."""
 BYTES_PER_MB = 1_048_576
 
