--- a/cicadawheel/holdings.py
+++ b/cicadawheel/holdings.py
@@ -174,11 +174,13 @@
 
     def record(self, holding: Holding, size_bytes: int) -> None:
         """Set the bytes of a holding, and keep the sum under its limit."""
-        if holding not in self._open:
+        if size_bytes == holding.held_bytes or holding not in self._open:
             return
         grows = size_bytes > holding.held_bytes
         self.total_bytes += size_bytes - holding.held_bytes
         holding.held_bytes = size_bytes
+        if holding.paused and size_bytes <= ORDINARY_BYTES:
+            self._resume(holding)
         if not grows:
             return
         if self.total_bytes > END_SHARE * self.settings.held_bytes:
@@ -207,8 +209,7 @@
             free_bytes -= max(holding.held_bytes, ORDINARY_BYTES)
             if free_bytes < 0:
                 break
-            holding.paused = False
-            holding.holder.resume_holding()
+            self._resume(holding)
 
     def _pause(self, holding: Holding) -> None:
         """Pause a holder that has grown, unless it holds little."""
@@ -218,6 +219,10 @@
             holding.paused = True
             holding.holder.pause_holding()
 
+    def _resume(self, holding: Holding) -> None:
+        holding.paused = False
+        holding.holder.resume_holding()
+
     def _end_largest(self) -> None:
         """End holders, the slowest and largest first, until there is room again."""
         excess_bytes = self.total_bytes - PAUSE_SHARE * self.settings.held_bytes
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -515,15 +515,21 @@
         if self._reject_oversized_body(request, content_length(head.headers) or 0):
             return
         if len(head.headers) > FIELDS_LIMIT:
-            request.refuse(FIELDS_TOO_LARGE_STATUS, "the request has too many fields")
+            reason = "the request has too many fields"
+            self._refuse_head(request, FIELDS_TOO_LARGE_STATUS, reason)
             return
         if self._holdings and not self._holdings.admits(has_body(head.headers)):
-            request.refuse(UNAVAILABLE_STATUS, "too much is held for other requests")
+            reason = "too much is held for other requests"
+            self._refuse_head(request, UNAVAILABLE_STATUS, reason)
             return
         owner = self.service.begin_call(request, head)
         if not request.answered:
             request.owner = owner
 
+    def _refuse_head(self, request: CallerRequest, status: int, reason: str) -> None:
+        log_event(log, "caller_refused", peer=self.peer, reason=reason)
+        request.refuse(status, reason)
+
     def _receive_body(self, request: CallerRequest, data: bytes) -> None:
         if request.answered:
             return
--- a/test/test_holdings.py
+++ b/test/test_holdings.py
@@ -110,6 +110,15 @@
     assert account.total_bytes == ORDINARY_BYTES
 
 
+def test_paused_client_that_holds_little_again_is_read_at_once(account):
+    uploads = [Client(account, 5_000_000, 10_000_000) for _ in range(2)]
+    for client in uploads:
+        client.holding.hold(3_000_000)
+    assert uploads[1].paused
+    uploads[1].holding.hold(ORDINARY_BYTES)
+    assert not uploads[1].paused
+
+
 def test_nobody_is_slow_while_the_process_does_not_read(account):
     client = Client(account, 1_000_000, 100, 1_000)
     client.holding.expect(False)
