Calls for which a service has no room are refused before they are sent

Cause: an entry found out call by call that a service has less room than is asked of it: three busy gates, a queue, a refusal. In a play by plain objects (18 upstreams of 3 slots, 70 entries, 1.8 times the room for 3 s, half of the calls of the higher priority) half of the refused callers learned it after 248 ms or later, three quarters of their target, and were told a time within the excess.

Change: an entry estimates from its load reports, weighted by age, whether one more call can be answered by its deadline and by its target, stretched by what later calls of higher priorities take; refused callers are told times that are spread over the room to come.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -14,11 +14,10 @@
     may_run,
     settle_claim,
 )
-from cicadawheel.entry.moves import may_move_on
+from cicadawheel.entry.next_attempt import NextAttempt
 from cicadawheel.entry.owner import CallEnd, CallOwner
 from cicadawheel.entry.plan import CallPlan, make_fingerprint
 from cicadawheel.entry.reply import ReplyRelay
-from cicadawheel.entry.retry import DISPATCH_LIMIT, is_retriable
 from cicadawheel.entry.versions import Pick
 from cicadawheel.errors import CicadawheelError
 from cicadawheel.http.caller import CallerConnection
@@ -32,7 +31,6 @@
     End,
     RefusalReason,
     Refused,
-    Repeat,
     ReplyHead,
     ReplyMessage,
 )
@@ -95,11 +93,9 @@
         )
         self._fingerprint = None
         self._attempts = Attempts(entry, plan)
-        self._within_repeat = within_repeat
-        self._may_have_run = False
+        self._next = NextAttempt(entry, plan, self._attempts, self._body, within_repeat)
         self._last_reason: RefusalReason | None = None
         self._failed_head: ReplyHead | None = None
-        self._only_at = NodeId("")
         self._claim: ClaimRequest | None = None
         self._claiming: asyncio.Task | None = None
         self._reply = ReplyRelay(
@@ -198,15 +194,13 @@
 
     def _start_attempt(self) -> None:
         self.state = CallState.TRYING
-        if self._is_over_budget():
-            self.entry.count_unsent_repeat(self.plan, self._repeat_kind())
-            self._refuse(RefusalReason.RETRY_BUDGET)
-            return
-        pick = self._pick()
-        if pick is None:
+        choice = self._next.choose(self.deadline_at_ms - self.entry.clock.now_ms())
+        if choice is None:
             self._refuse(self._last_reason or RefusalReason.NO_UPSTREAM)
-            return
-        self._start_attempt_at(pick)
+        elif isinstance(choice, RefusalReason):
+            self._refuse(choice)
+        else:
+            self._start_attempt_at(choice)
 
     def _start_attempt_at(self, pick: Pick) -> None:
         self._body.prepare()
@@ -216,32 +210,13 @@
             if self._body.empty and self.plan.repeatable:
                 self._attempts.schedule_hedge(self._hedge)
 
-    def _pick(self) -> Pick | None:
-        avoided = self._attempts.tried
-        if self._repeat_kind() is not Repeat.FIRST:
-            avoided = avoided | self.entry.repeats.nodes_over_budget(self.plan.service)
-        # To queue at a gate that was busy may be better than any other gate.
-        avoided = avoided - self._attempts.busy
-        size_bytes = len(self._body.beginning)
-        return self.entry.pick(self.plan, avoided, self._only_at, size_bytes)
-
-    def _is_immediate(self, node: NodeId) -> bool:
-        """Return whether a gate is asked to start the call at once or refuse it."""
-        if self._only_at or not may_move_on(node, self._attempts.busy, self._body):
-            return False
-        return self.entry.has_free_slot(node)
-
     def consider_hedge(self) -> None:
         """Hedge the call if another upstream is expected to answer much sooner."""
         live = self._attempts.live
         if self.state is not CallState.TRYING or not self.plan.repeatable:
             return
-        if len(live) != 1 or not self._body.empty:
-            return
-        if self._only_at or not self._may_start_attempt():
-            return
-        pick = self._pick()
-        if pick is None or pick.member.node in self._attempts.tried:
+        pick = self._next.choose_hedge() if self._body.empty else None
+        if pick is None:
             return
         gain_ms = self.entry.hedge_gain_ms(self.plan, live[0].pick, pick, 0)
         other = pick.member.node
@@ -259,27 +234,14 @@
     def _open_attempt(self, pick: Pick) -> Attempt:
         self.node = pick.member.node
         self.entry.log_placement(self.plan, pick, self._attempts.count)
-        call = self._make_open(pick.member.version, self._is_immediate(self.node))
+        call = self._make_open(pick.member.version, self._next.is_immediate(self.node))
         return self._attempts.open(pick, call, self._receive)
 
     def _hedge(self) -> None:
-        if self.state is not CallState.TRYING or len(self._attempts.live) != 1:
-            return
-        if self._only_at or not self._may_start_attempt():
-            return
-        tried = self._attempts.tried
-        pick = self._pick()
-        if pick is None or pick.member.node in tried:
-            return
-        if self.entry.may_hedge(self.plan, pick.member.node):
+        pick = self._next.choose_hedge() if self.state is CallState.TRYING else None
+        if pick is not None and self.entry.may_hedge(self.plan, pick.member.node):
             self._open_attempt(pick)
 
-    def _is_over_budget(self) -> bool:
-        """Return whether the next attempt is a repeat which every gate would refuse."""
-        if self._only_at or self._repeat_kind() is Repeat.FIRST:
-            return False
-        return self.entry.repeats.is_over_budget(self.plan.service)
-
     def _make_open(self, version: VersionName, immediate: bool) -> CallOpen:
         left_ms = self.deadline_at_ms - self.entry.clock.now_ms()
         margin_ms = min(GATE_MARGIN_MS, left_ms * GATE_MARGIN_SHARE)
@@ -300,32 +262,16 @@
             target_ms=self._target_left_ms(),
             priority=self.plan.priority,
             work_ms=self.entry.work_times.usual_ms(self.plan.route),
-            repeat=self._repeat_kind(),
+            repeat=self._next.repeat_kind(),
             immediate=immediate,
         )
 
-    def _repeat_kind(self) -> Repeat:
-        """Return what kind of repeat the next attempt is, if any."""
-        if self._within_repeat:
-            return Repeat.WITHIN
-        if not self._attempts.reached:
-            return Repeat.FIRST
-        if self._attempts.live:
-            return Repeat.SPARE
-        return Repeat.FAILED if self._may_have_run else Repeat.REFUSED
-
     def _target_left_ms(self) -> float:
         if not self.plan.target_ms:
             return 0.0
         passed_ms = self.entry.clock.now_ms() - self.started_at_ms
         return (self.plan.target_ms - passed_ms) or -1.0
 
-    def _may_start_attempt(self) -> bool:
-        """Return whether the attempt limits allow one more attempt."""
-        if self._attempts.dispatches >= DISPATCH_LIMIT:
-            return False
-        return self._attempts.reached < self.plan.attempts
-
     def _receive(self, attempt: Attempt, message: ReplyMessage) -> None:
         if isinstance(message, ReplyHead):
             self._handle_head(attempt, message)
@@ -361,20 +307,18 @@
 
         Returns whether the failed answer is held back from the caller.
         """
-        if head.more or self._only_at or not self._body.replayable:
+        if head.more or self._next.only_at or not self._body.replayable:
             return False
         if not self.entry.repeats.is_retriable_answer(self.plan, head.status):
             return False
         pick = None
         if len(self._attempts.live) == 1:
-            pick = self._pick() if self._may_start_attempt() else None
-            if pick is None or pick.member.node in self._attempts.tried:
-                return False
-            if not self.entry.repeats.may_retry_answer(pick.member.node):
+            pick = self._next.choose_after_failure()
+            if pick is None:
                 return False
         self._attempts.remove(attempt)
         self.entry.attempt_answered(self.plan, attempt.pick, head)
-        self._may_have_run = True
+        self._next.may_have_run = True
         self._failed_head = head
         if pick is not None:
             self._body.detach()
@@ -395,7 +339,7 @@
         if refused.reason is RefusalReason.BUSY:
             self._attempts.busy.add(attempt.node)
         self.entry.attempt_refused(self.plan, attempt.pick, refused)
-        self._may_have_run = self._may_have_run or not refused.not_run
+        self._next.may_have_run |= not refused.not_run
         self._last_reason = refused.reason
         if self.state is CallState.REPLYING:
             self._abort_answer(refused.reason)
@@ -404,23 +348,12 @@
             return
         self._body.detach()
         self._attempts.cancel_hedge()
-        if self._may_retry(attempt, refused):
-            self._only_at = refused.only_at or self._only_at
+        if self._next.may_retry(attempt, refused):
+            self._next.only_at = refused.only_at or self._next.only_at
             self._start_attempt()
         else:
             self._refuse(refused.reason)
 
-    def _may_retry(self, attempt: Attempt, refused: Refused) -> bool:
-        if self._only_at and attempt.node == self._only_at:
-            return False
-        repeatable, replayable = self.plan.repeatable, self._body.replayable
-        reached, limit = self._attempts.reached, self.plan.attempts
-        if not is_retriable(refused, repeatable, replayable, reached, limit):
-            return False
-        if self._attempts.dispatches >= DISPATCH_LIMIT:
-            return False
-        return self.entry.repeats.may_retry(self.plan, refused)
-
     def _store_answer(self, answer: Answer) -> None:
         if self._claim is not None:
             self.entry.claims.finish(self._claim, answer)
@@ -428,7 +361,7 @@
 
     def _was_not_run(self) -> bool:
         """Return whether it is certain that no upstream has run the request."""
-        if self._may_have_run or self._attempts.live:
+        if self._next.may_have_run or self._attempts.live:
             return False
         # Until its claim is settled, a request that must run at most once may
         # already be running elsewhere, sent earlier with the same key.
@@ -467,7 +400,8 @@
         )
         self._release_claim(not_run)
         end = CallEnd.NOT_RUN if not_run else CallEnd.LOST
-        answer = self.entry.answer_refusal(self.plan, reason, not_run)
+        left_ms = self.deadline_at_ms - self.entry.clock.now_ms()
+        answer = self.entry.answer_refusal(self.plan, reason, not_run, left_ms)
         self._respond(answer, end)
 
     def _release_claim(self, not_run: bool) -> None:
@@ -509,7 +443,7 @@
             self._refuse(RefusalReason.DEADLINE)
 
     def _cancel_attempts(self, reason: str, late: bool) -> None:
-        self._may_have_run = self._may_have_run or bool(self._attempts.live)
+        self._next.may_have_run |= bool(self._attempts.live)
         self._attempts.cancel_all(reason, late)
 
     def _end(self, end: CallEnd) -> None:
--- /dev/null
+++ b/cicadawheel/entry/door.py
@@ -0,0 +1,174 @@
+"""Decides at an entry whether a call is refused before it is sent to any gate.
+
+It also tells refused callers when to come back. The decisions are those of `room` and
+`comeback`; this keeps their state for each service, and logs and counts them.
+"""
+
+import logging
+from random import Random
+
+import msgspec
+
+from cicadawheel.entry.comeback import Comebacks
+from cicadawheel.entry.placement import CallProfile
+from cicadawheel.entry.plan import CallPlan
+from cicadawheel.entry.retry_after import USELESS_RETRY_REASONS, retry_after_ms
+from cicadawheel.entry.room import (
+    Demand,
+    Room,
+    RoomQuery,
+    estimate_room,
+    reason_to_refuse,
+)
+from cicadawheel.entry.router import Router
+from cicadawheel.ids import ServiceName
+from cicadawheel.logs import log_event
+from cicadawheel.messages import RefusalReason
+from cicadawheel.metrics import NodeMetrics
+
+log = logging.getLogger(__name__)
+
+TOLD_REASONS = frozenset(
+    (
+        RefusalReason.OVERLOAD,
+        RefusalReason.BUSY,
+        RefusalReason.COLD,
+        RefusalReason.QUEUE_DEADLINE,
+        RefusalReason.RETRY_BUDGET,
+    )
+)
+"""Reasons that are due to the load, after which returns are spread."""
+
+
+class DoorReport(msgspec.Struct, frozen=True):
+    """The room of one service as last estimated, for operators."""
+
+    service: ServiceName
+    room: Room | None
+    told: int
+
+
+class _ServiceState:
+    def __init__(self, random: Random):
+        self.demand = Demand()
+        self.comebacks = Comebacks(random)
+        self.room: Room | None = None
+
+
+class Door:
+    """Refuses calls for which a service has no room, and spreads their return.
+
+    Parameters
+    ----------
+    router : Router
+        Knows the load of the upstreams.
+    half_life_ms : float
+        The half-life of the weight of a load report.
+    metrics : NodeMetrics
+        The metrics of this node.
+    """
+
+    def __init__(self, router: Router, half_life_ms: float, metrics: NodeMetrics):
+        self.router = router
+        self.half_life_ms = half_life_ms
+        self.metrics = metrics
+        self._services: dict[ServiceName, _ServiceState] = {}
+
+    def call_began(self, plan: CallPlan, now_ms: float) -> None:
+        """Record a call of a caller."""
+        self._state(plan.service).demand.record_request(plan.priority, now_ms)
+
+    def call_answered(self, plan: CallPlan, now_ms: float) -> None:
+        """Record an upstream's answer."""
+        state = self._state(plan.service)
+        state.demand.record_answer(now_ms)
+        state.comebacks.answered(now_ms)
+
+    def reason_to_refuse(
+        self,
+        plan: CallPlan,
+        profile: CallProfile,
+        left_ms: float,
+        now_ms: float,
+    ) -> RefusalReason | None:
+        """Return the reason to refuse a call for which there is no room, or None.
+
+        ``left_ms`` is the time until its deadline.
+        """
+        state = self._state(plan.service)
+        passed_ms = plan.deadline_ms - left_ms
+        query = RoomQuery(
+            profile.work_ms,
+            left_ms,
+            max(1.0, plan.target_ms - passed_ms) if plan.target_ms else 0.0,
+            profile.usable_part,
+            state.demand.share_up_to(plan.priority),
+            state.demand.taken_part(plan.priority),
+        )
+        candidates = self.router.open_candidates(plan.service, now_ms)
+        room = estimate_room(candidates, query, self.half_life_ms, now_ms)
+        state.room = room
+        highest = state.demand.is_highest(plan.priority)
+        reason = reason_to_refuse(room, query, highest)
+        if reason is not None:
+            self.metrics.count_door_refusal(plan.service, reason)
+            log_event(
+                log,
+                "call_without_room",
+                request=plan.request,
+                service=plan.service,
+                reason=reason.value,
+                deadline_chance=round(room.deadline_chance, 2),
+                target_chance=round(room.target_chance, 2),
+                excess_turns=round(room.excess_turns, 2),
+                known=round(room.known, 1),
+                age_ms=room.age_ms,
+            )
+        return reason
+
+    def retry_after_ms(
+        self,
+        plan: CallPlan,
+        profile: CallProfile,
+        reason: RefusalReason,
+        left_ms: float,
+        now_ms: float,
+    ) -> float:
+        """Return the delay after which a refused caller should come back, 0 for none.
+
+        ``left_ms`` is the time until the deadline of the call.
+        """
+        if reason in USELESS_RETRY_REASONS:
+            return 0.0
+        service = plan.service
+        wait_ms = self.router.shortest_wait_ms(service, profile, plan.target_ms)
+        if reason not in TOLD_REASONS:
+            return retry_after_ms(reason, wait_ms, self.router.random)
+        comebacks = self._state(service).comebacks
+        delay_ms = comebacks.delay_ms(wait_ms, profile.work_ms, left_ms, now_ms)
+        log_event(
+            log,
+            "caller_told_return",
+            request=plan.request,
+            service=service,
+            wait_ms=wait_ms,
+            left_ms=left_ms,
+            delay_ms=delay_ms,
+            pending=comebacks.pending(now_ms),
+        )
+        if delay_ms:
+            self.metrics.observe_told_return(service, delay_ms)
+        return delay_ms
+
+    def report(self, now_ms: float) -> list[DoorReport]:
+        """Return the room of each service as last estimated."""
+        return [
+            DoorReport(service, state.room, state.comebacks.pending(now_ms))
+            for service, state in self._services.items()
+        ]
+
+    def _state(self, service: ServiceName) -> _ServiceState:
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _ServiceState(self.router.random)
+        return state
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -14,6 +14,7 @@
 )
 from cicadawheel.entry.call import EntryCall
 from cicadawheel.entry.claim import ClaimClient
+from cicadawheel.entry.door import Door, DoorReport
 from cicadawheel.entry.latency import Latencies
 from cicadawheel.entry.owner import CallEnd
 from cicadawheel.entry.peers import CallHandle, PeerLinks
@@ -72,6 +73,7 @@
     router: RouterReport
     retry_budgets: list[RetryBudgetReport]
     quarantined: list[Fingerprint]
+    door: list[DoorReport]
 
 
 class Entry:
@@ -132,6 +134,7 @@
         self.caller_service = ServiceName("")
         self.repeats = Repeats(settings, router, clock)
         self.work_times = WorkTimes()
+        self.door = Door(router, settings.report_half_life_ms, metrics)
         self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
         self.probe_limiter = ProbeLimiter()
@@ -256,6 +259,7 @@
         now_ms = self.clock.now_ms()
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
         reserve.record_request(plan.priority, now_ms)
+        self.door.call_began(plan, now_ms)
         within = self.gate.repeats.is_within(plan.request)
         call = EntryCall(self, connection, request, plan, within)
         self.calls.add(call)
@@ -277,15 +281,13 @@
         return (*kept, Header(name, self.caller_service.encode()))
 
     def answer_refusal(
-        self, plan: CallPlan, reason: RefusalReason, not_run: bool
+        self, plan: CallPlan, reason: RefusalReason, not_run: bool, left_ms: float
     ) -> Answer:
         """Return the entry's own answer to a call that got none from an upstream."""
         delay_ms = 0.0
         if not_run and self.dialect.seal:
-            wait_ms = self.router.shortest_wait_ms(
-                plan.service, self._profile(plan), plan.target_ms
-            )
-            delay_ms = retry_after_ms(reason, wait_ms, self.router.random)
+            profile, now_ms = self._profile(plan), self.clock.now_ms()
+            delay_ms = self.door.retry_after_ms(plan, profile, reason, left_ms, now_ms)
         return answer_refusal(reason, not_run, plan.request, self.dialect, delay_ms)
 
     def pick(
@@ -354,6 +356,15 @@
         """
         return self.repeats.shared and self.router.has_free_slot(node)
 
+    def reason_without_room(
+        self, plan: CallPlan, node: NodeId, left_ms: float
+    ) -> RefusalReason | None:
+        """Return the reason to refuse a call for which there is no room, or None."""
+        if not self.repeats.shared or self.router.has_free_slot(node):
+            return None
+        profile, now_ms = self._profile(plan), self.clock.now_ms()
+        return self.door.reason_to_refuse(plan, profile, left_ms, now_ms)
+
     def count_unsent_repeat(self, plan: CallPlan, cause: Repeat) -> None:
         """Count a repeat that isn't sent because every gate would refuse it."""
         self.metrics.count_repeat(plan.service, cause, "unsent")
@@ -367,6 +378,7 @@
         if good:
             slowness = max(self.router.slowness(node), head.load.slowness)
             self.work_times.add(plan.route, latency_ms, slowness)
+            self.door.call_answered(plan, now_ms)
         self.router.ended(node, head.load, now_ms)
         if self.router.answered(node, good, now_ms):
             log_event(log, "upstream_ejected", node=node, reason="bad answers")
@@ -482,4 +494,5 @@
             router=self.router.report(self.clock.now_ms()),
             retry_budgets=self.repeats.report(),
             quarantined=sorted(self.quarantined),
+            door=self.door.report(self.clock.now_ms()),
         )
--- a/cicadawheel/entry/owner.py
+++ b/cicadawheel/entry/owner.py
@@ -73,6 +73,14 @@
     def has_free_slot(self, node: NodeId) -> bool:
         """Return whether a gate that pushes its load probably has a free slot."""
 
+    def reason_without_room(
+        self, plan: CallPlan, node: NodeId, left_ms: float
+    ) -> RefusalReason | None:
+        """Return the reason to refuse a call for which there is no room, or None.
+
+        ``node`` is the best upstream for it.
+        """
+
     def count_unsent_repeat(self, plan: CallPlan, cause: Repeat) -> None:
         """Count a repeat that isn't sent because every gate would refuse it."""
 
@@ -83,7 +91,7 @@
         """Record a gate's refusal."""
 
     def answer_refusal(
-        self, plan: CallPlan, reason: RefusalReason, not_run: bool
+        self, plan: CallPlan, reason: RefusalReason, not_run: bool, left_ms: float
     ) -> Answer:
         """Return the entry's own answer to a call that got none from an upstream."""
 
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -191,6 +191,11 @@
         ]
         return max(0.0, min(waits_ms, default=target_ms))
 
+    def open_candidates(self, service: ServiceName, now_ms: float) -> list[Candidate]:
+        """Return the upstreams in use of a service that take new work."""
+        used = self._group(service, VersionName("")).used
+        return [candidate for candidate in used if candidate.is_open(now_ms)]
+
     def has_free_slot(self, node: NodeId) -> bool:
         """Return whether a call is expected to find a free slot at a node."""
         candidate = self._candidates.get(node)
--- a/cicadawheel/metrics.py
+++ b/cicadawheel/metrics.py
@@ -8,6 +8,7 @@
 from cicadawheel.timer import MS_PER_S
 
 LATENCY_BUCKETS_S = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1, 5, 30)
+TOLD_RETURN_BUCKETS_S = (0.1, 0.2, 0.4, 0.8, 1.6)
 
 
 class NodeMetrics:
@@ -61,6 +62,19 @@
             ["service", "cause", "outcome"],
             registry=self.registry,
         )
+        self.door_refusals = Counter(
+            "cicadawheel_door_refusals",
+            "Calls refused before they were sent to a gate, as there was no room.",
+            ["service", "reason"],
+            registry=self.registry,
+        )
+        self.told_return_seconds = Histogram(
+            "cicadawheel_told_return_seconds",
+            "Retry-After times told to callers that were refused for the load.",
+            ["service"],
+            buckets=TOLD_RETURN_BUCKETS_S,
+            registry=self.registry,
+        )
         self.gate_limit = Gauge(
             "cicadawheel_gate_limit",
             "Requests that the gate lets its upstream have now.",
@@ -98,6 +112,14 @@
         """Count an attempt refused by a gate."""
         self.refusals.labels(reason.value).inc()
 
+    def count_door_refusal(self, service: ServiceName, reason: Enum) -> None:
+        """Count a call that was refused before it was sent to a gate."""
+        self.door_refusals.labels(service, reason.value).inc()
+
+    def observe_told_return(self, service: ServiceName, delay_ms: float) -> None:
+        """Record the time after which a refused caller was told to come back."""
+        self.told_return_seconds.labels(service).observe(delay_ms / MS_PER_S)
+
     def count_repeat(self, service: ServiceName, cause: Enum, outcome: str) -> None:
         """Count a repeat that this gate sent on or refused."""
         self.repeats.labels(service, cause.value, outcome).inc()
--- a/test/news_fleet.py
+++ b/test/news_fleet.py
@@ -61,7 +61,7 @@
             call.started_ms + DEADLINE_MS,
             now_ms,
             hints=SchedulingHints(
-                call.started_ms + TARGET_MS, 0, WORK_MS, call.immediate
+                call.entered_ms + TARGET_MS, call.priority, WORK_MS, call.immediate
             ),
         )
         self.apply([decision], now_ms)
@@ -106,7 +106,9 @@
         self.number = number
         self.router = router
         self.started_ms = now_ms
+        self.entered_ms = now_ms
         self.work_ms = work_ms
+        self.priority = 0
         self.tried = set()
         self.busy = set()
         self.attempts = 0
@@ -168,6 +170,12 @@
             self.moves += 1
         self.at(now_ms + HOP_MS, self._place, call)
 
+    def give_up(self, call, now_ms):
+        self.ends["refused"] += 1
+
+    def has_no_room(self, call, node, now_ms):
+        return False
+
     def _arrive(self, calls_per_s, now_ms):
         work_ms = self.draw.lognormvariate(0.0, 0.3) * WORK_MS
         router = self.draw.choice(self.routers)
@@ -182,7 +190,9 @@
         if call.attempts - len(call.busy) < DISPATCH_LIMIT:
             picked = call.router.pick("s", "", avoided, now_ms, CallProfile(WORK_MS))
         if picked is None:
-            self.ends["refused"] += 1
+            self.give_up(call, now_ms)
+            return
+        if self.has_no_room(call, picked.node, now_ms):
             return
         call.attempts += 1
         call.tried.add(picked.node)
