Tries after a decline go to the highest priority where upstreams decline most

Each decline was tried elsewhere until the retry budget of the service was spent, whatever the priority. A reset or decline by an upstream that is full counted as its fault, and towards its ejection.

Change: the gate measures the declined share and pushes it (LoadReport.shed_share); the entry sends a declined request elsewhere only if the budget covers the tries of all requests with its priority or a higher one, the highest always. Declines and resets of an upstream that reports more requests than slots are load, no fault.

--- a/cicadawheel/entry/door.py
+++ b/cicadawheel/entry/door.py
@@ -21,6 +21,7 @@
     reason_to_refuse,
 )
 from cicadawheel.entry.router import Router
+from cicadawheel.entry.tries import covers_tries, mean_shed_share
 from cicadawheel.ids import ServiceName
 from cicadawheel.logs import log_event
 from cicadawheel.messages import RefusalReason
@@ -126,6 +127,29 @@
             )
         return reason
 
+    def may_try_elsewhere(self, plan: CallPlan, share: float, now_ms: float) -> bool:
+        """Return whether a request that an upstream declined is sent to another one.
+
+        ``share`` is the number of repeats that the budget allows per request.
+        """
+        demand = self._state(plan.service).demand
+        if demand.is_highest(plan.priority):
+            return True
+        candidates = self.router.open_candidates(plan.service, now_ms)
+        shed_share = mean_shed_share(candidates, self.half_life_ms, now_ms)
+        share_up_to = demand.share_up_to(plan.priority)
+        if covers_tries(share, shed_share, plan.attempts, share_up_to):
+            return True
+        log_event(
+            log,
+            "try_left_to_others",
+            request=plan.request,
+            service=plan.service,
+            shed_share=round(shed_share, 2),
+            share_up_to=round(share_up_to, 2),
+        )
+        return False
+
     def retry_after_ms(
         self,
         plan: CallPlan,
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -365,6 +365,14 @@
         profile, now_ms = self._profile(plan), self.clock.now_ms()
         return self.door.reason_to_refuse(plan, profile, left_ms, now_ms)
 
+    def may_try_elsewhere(self, plan: CallPlan, refused: Refused) -> bool:
+        """Return whether the budget is left to a call that an upstream declined."""
+        declined = refused.reached and refused.reason is RefusalReason.OVERLOAD
+        if not self.repeats.shared or not declined:
+            return True
+        share, now_ms = self.settings.retry_share, self.clock.now_ms()
+        return self.door.may_try_elsewhere(plan, share, now_ms)
+
     def count_unsent_repeat(self, plan: CallPlan, cause: Repeat) -> None:
         """Count a repeat that isn't sent because every gate would refuse it."""
         self.metrics.count_repeat(plan.service, cause, "unsent")
--- a/cicadawheel/entry/next_attempt.py
+++ b/cicadawheel/entry/next_attempt.py
@@ -116,7 +116,9 @@
             return False
         if self.attempts.dispatches >= DISPATCH_LIMIT:
             return False
-        return self.entry.repeats.may_retry(self.plan, refused)
+        if not self.entry.repeats.may_retry(self.plan, refused):
+            return False
+        return self.entry.may_try_elsewhere(self.plan, refused)
 
     def _pick_untried(self) -> Pick | None:
         pick = self.pick()
--- a/cicadawheel/entry/owner.py
+++ b/cicadawheel/entry/owner.py
@@ -81,6 +81,9 @@
         ``node`` is the best upstream for it.
         """
 
+    def may_try_elsewhere(self, plan: CallPlan, refused: Refused) -> bool:
+        """Return whether the budget is left to a call that an upstream declined."""
+
     def count_unsent_repeat(self, plan: CallPlan, cause: Repeat) -> None:
         """Count a repeat that isn't sent because every gate would refuse it."""
 
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -18,6 +18,7 @@
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.reported_admission import ReportedAdmission
+from cicadawheel.gate.shedding import Shedding
 from cicadawheel.http.dialect import Dialect
 from cicadawheel.http.fields import (
     ResponseHead,
@@ -83,6 +84,7 @@
     pool: UpstreamPool
     guard: CrashGuard
     repeats: GateRepeats
+    shedding: Shedding
     admission: Admission | ReportedAdmission
     announcement: Announcement | None
 
@@ -321,8 +323,18 @@
 
     def end_exchange(self, end: ExchangeEnd, not_run: bool = False) -> None:
         """Refuse the call with the reason that belongs to the end of its exchange."""
-        if self.state is not CallState.ENDED:
-            self._refuse(REASON_OF_END[end], not_run, RESULT_OF_END[end])
+        if self.state is CallState.ENDED:
+            return
+        if end is ExchangeEnd.LOST and self._was_reset_by_full_upstream():
+            self._refuse(RefusalReason.OVERLOAD, not_run, Result.SHED)
+            return
+        self._refuse(REASON_OF_END[end], not_run, RESULT_OF_END[end])
+
+    def _was_reset_by_full_upstream(self) -> bool:
+        """Return whether the upstream lives and has more requests than slots."""
+        if self.gate.guard.crashes.dead:
+            return False
+        return self.gate.shedding.is_full(self.gate.clock.now_ms())
 
     def upstream_writable(self) -> None:
         """Grant the entry credit to send more of the request body."""
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -20,6 +20,7 @@
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.reported_admission import ReportedAdmission
 from cicadawheel.gate.reports import ReportReader, ReportWatch
+from cicadawheel.gate.shedding import Shedding
 from cicadawheel.gate.suspects import SuspectReport
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.http.fields import ResponseHead, find_field
@@ -97,6 +98,7 @@
         self.admission = make_admission(settings)
         self.publisher = LoadPublisher(timers, lambda: self.load())
         self._failures = FailureShare()
+        self.shedding = Shedding()
         self.pool = UpstreamPool(settings.connect_timeout_ms)
         self._health: HealthReader | None = None
         if settings.limit == REPORTED_LIMIT:
@@ -210,11 +212,13 @@
 
     def load(self) -> LoadReport:
         """Return the current load of the upstream."""
-        load = self.admission.load(self.configuration.revision, self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        load = self.admission.load(self.configuration.revision, now_ms)
         return msgspec.structs.replace(
             load,
             may_repeat=self.repeats.may_repeat(),
-            failure_share=self._failures.value(self.clock.now_ms()),
+            failure_share=self._failures.value(now_ms),
+            shed_share=self.shedding.share(now_ms),
         )
 
     def open(self, call: CallOpen, sink: ReplySink) -> GateCall:
@@ -272,6 +276,7 @@
         """Update the load from the head of a response, if it carries one."""
         load = read_load(response, self.dialect)
         if load is not None:
+            self.shedding.load_told(load, self.clock.now_ms())
             self.admission.load_reported(load)
             self.publisher.push()
 
@@ -312,6 +317,9 @@
         self.publisher.push()
 
     def _record_failure(self, call: GateCall, result: Result, now_ms: float) -> None:
+        if result is Result.SHED and self.shedding.is_full(now_ms):
+            return
+        self.shedding.ended(result, now_ms)
         load = self.admission.load(self.configuration.revision, now_ms)
         took_ms = now_ms - call.admitted_at_ms
         failed = is_failure(result, load, took_ms, call.call.work_ms)
@@ -338,6 +346,7 @@
             request=request,
             status=response.status_code,
             in_flight=self.admission.in_flight,
+            full=self.shedding.is_full(self.clock.now_ms()),
             load=(find_field(response.headers, self.dialect.load) or b"").decode(),
         )
 
@@ -363,6 +372,7 @@
             return
         now_ms = self.clock.now_ms()
         if report.load is not None:
+            self.shedding.load_told(report.load, now_ms)
             self.admission.load_reported(report.load)
         if report.cold_ms is not None:
             self.admission.cold_reported(report.cold_ms, now_ms)
--- a/cicadawheel/gate/news.py
+++ b/cicadawheel/gate/news.py
@@ -12,7 +12,7 @@
 """A smaller change of the slowness is within the spread of calls and moves none."""
 
 FAILURE_STEP = 0.15
-"""A smaller change of the share of failures may be chance."""
+"""A smaller change of the share of failed or declined requests may be chance."""
 
 SLOT_REPORTS_PER_S = 100.0
 """Reports a second, to all entries together, of whether a slot is free.
@@ -81,5 +81,7 @@
         return True
     if abs(pushed.failure_share - load.failure_share) >= FAILURE_STEP:
         return True
+    if abs(pushed.shed_share - load.shed_share) >= FAILURE_STEP:
+        return True
     ratio = load.slowness / pushed.slowness
     return ratio >= SLOWNESS_STEP or ratio <= 1.0 / SLOWNESS_STEP
