Merge nested calls into the decisions on room

Nested calls rank before requests of callers of their priority, as in the slots that are reserved, and are refused at the door only if they can't be answered by their deadline: their refusal takes the work of the outer request with it.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -264,6 +264,7 @@
             work_ms=self.entry.work_times.usual_ms(self.plan.route),
             repeat=self._next.repeat_kind(),
             immediate=immediate,
+            spent_ms=self.plan.spent_ms,
         )
 
     def _target_left_ms(self) -> float:
--- a/cicadawheel/entry/door.py
+++ b/cicadawheel/entry/door.py
@@ -26,6 +26,7 @@
 from cicadawheel.logs import log_event
 from cicadawheel.messages import RefusalReason
 from cicadawheel.metrics import NodeMetrics
+from cicadawheel.reserve import reserve_rank
 
 log = logging.getLogger(__name__)
 
@@ -49,6 +50,10 @@
     told: int
 
 
+def _rank(plan: CallPlan) -> float:
+    return reserve_rank(plan.priority, plan.spent_ms)
+
+
 class _ServiceState:
     def __init__(self, random: Random):
         self.demand = Demand()
@@ -77,7 +82,7 @@
 
     def call_began(self, plan: CallPlan, now_ms: float) -> None:
         """Record a call of a caller."""
-        self._state(plan.service).demand.record_request(plan.priority, now_ms)
+        self._state(plan.service).demand.record_request(_rank(plan), now_ms)
 
     def call_answered(self, plan: CallPlan, now_ms: float) -> None:
         """Record an upstream's answer."""
@@ -97,19 +102,21 @@
         ``left_ms`` is the time until its deadline.
         """
         state = self._state(plan.service)
+        rank = _rank(plan)
         passed_ms = plan.deadline_ms - left_ms
         query = RoomQuery(
             profile.work_ms,
             left_ms,
             max(1.0, plan.target_ms - passed_ms) if plan.target_ms else 0.0,
             profile.usable_part,
-            state.demand.share_up_to(plan.priority),
-            state.demand.taken_part(plan.priority),
+            state.demand.share_up_to(rank),
+            state.demand.taken_part(rank),
         )
         candidates = self.router.open_candidates(plan.service, now_ms)
         room = estimate_room(candidates, query, self.half_life_ms, now_ms)
         state.room = room
-        highest = state.demand.is_highest(plan.priority)
+        # A nested call that is refused takes the work of its outer request with it.
+        highest = state.demand.is_highest(rank) or plan.spent_ms > 0.0
         reason = reason_to_refuse(room, query, highest)
         if reason is not None:
             self.metrics.count_door_refusal(plan.service, reason)
@@ -133,11 +140,12 @@
         ``share`` is the number of repeats that the budget allows per request.
         """
         demand = self._state(plan.service).demand
-        if demand.is_highest(plan.priority):
+        rank = _rank(plan)
+        if demand.is_highest(rank):
             return True
         candidates = self.router.open_candidates(plan.service, now_ms)
         shed_share = mean_shed_share(candidates, self.half_life_ms, now_ms)
-        share_up_to = demand.share_up_to(plan.priority)
+        share_up_to = demand.share_up_to(rank)
         if covers_tries(share, shed_share, plan.attempts, share_up_to):
             return True
         log_event(
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -16,6 +16,7 @@
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.door import Door, DoorReport
 from cicadawheel.entry.latency import Latencies
+from cicadawheel.entry.nested import plan_nested
 from cicadawheel.entry.owner import CallEnd
 from cicadawheel.entry.peers import CallHandle, PeerLinks
 from cicadawheel.entry.placement import CallProfile, WorkTimes
@@ -56,7 +57,7 @@
 )
 from cicadawheel.metrics import NodeMetrics
 from cicadawheel.release.chooser import VersionChoice
-from cicadawheel.reserve import SlotReserve
+from cicadawheel.reserve import SlotReserve, reserve_rank
 from cicadawheel.settings import EntrySettings
 from cicadawheel.timer import Clock
 
@@ -257,8 +258,11 @@
             connection.respond(answer.status, answer.headers, answer.body)
             return None
         now_ms = self.clock.now_ms()
+        outer = self.gate.repeats.runs.outer(plan.request)
+        if outer is not None:
+            plan = plan_nested(plan, outer, now_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
-        reserve.record_request(plan.priority, now_ms)
+        reserve.record_request(reserve_rank(plan.priority, plan.spent_ms), now_ms)
         self.door.call_began(plan, now_ms)
         within = self.gate.repeats.is_within(plan.request)
         call = EntryCall(self, connection, request, plan, within)
@@ -285,6 +289,8 @@
     ) -> Answer:
         """Return the entry's own answer to a call that got none from an upstream."""
         delay_ms = 0.0
+        if reason is RefusalReason.RETRY_BUDGET and plan.spent_ms:
+            self.gate.repeats.runs.call_refused(plan.request, self.clock.now_ms())
         if not_run and self.dialect.seal:
             profile, now_ms = self._profile(plan), self.clock.now_ms()
             delay_ms = self.door.retry_after_ms(plan, profile, reason, left_ms, now_ms)
@@ -434,7 +440,8 @@
 
     def _profile(self, plan: CallPlan, body_bytes: int = 0) -> CallProfile:
         reserve = self._reserves.get(plan.service)
-        usable_part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
+        rank = reserve_rank(plan.priority, plan.spent_ms)
+        usable_part = 1.0 if reserve is None else reserve.usable_part(rank)
         return CallProfile(
             self.work_times.usual_ms(plan.route), body_bytes, usable_part
         )
--- a/cicadawheel/entry/next_attempt.py
+++ b/cicadawheel/entry/next_attempt.py
@@ -77,7 +77,7 @@
     def pick(self) -> Pick | None:
         """Select the upstream for the next attempt, or None."""
         avoided = self.attempts.tried
-        if self.repeat_kind() is not Repeat.FIRST:
+        if self._is_callers_repeat():
             avoided = avoided | self.entry.repeats.nodes_over_budget(self.plan.service)
         # To queue at a gate that was busy may be better than any other gate.
         avoided = avoided - self.attempts.busy
@@ -128,6 +128,10 @@
 
     def _is_over_budget(self) -> bool:
         """Return whether the next attempt is a repeat which every gate would refuse."""
-        if self.only_at or self.repeat_kind() is Repeat.FIRST:
+        if self.only_at or not self._is_callers_repeat():
             return False
         return self.entry.repeats.is_over_budget(self.plan.service)
+
+    def _is_callers_repeat(self) -> bool:
+        """Return whether the next attempt repeats a request that isn't nested."""
+        return self.repeat_kind() is not Repeat.FIRST and not self.plan.spent_ms
--- a/cicadawheel/entry/room.py
+++ b/cicadawheel/entry/room.py
@@ -34,6 +34,9 @@
 RANK_HALF_LIFE_S = 3.0
 """The half-life of the counts of requests and answers."""
 
+FORGOTTEN_COUNT = 0.05
+"""Ranks without a request for some ten seconds are forgotten."""
+
 DEMAND_PRIOR = 3.0
 """The demand counts as met while there are not clearly more requests than these."""
 
@@ -42,54 +45,58 @@
 
 
 class Demand:
-    """The recent requests for a service by priority, and the answers to them.
+    """The recent requests for a service by rank, and the answers to them.
 
-    Priority 0 is the highest.
+    The rank is that of `reserve_rank`, by which slots are reserved too.
     """
 
     def __init__(self):
-        self._requests: dict[int, float] = {}
+        self._requests: dict[float, float] = {}
         self._answers = 0.0
         self._at_ms = 0.0
 
-    def record_request(self, priority: int, now_ms: float) -> None:
+    def record_request(self, rank: float, now_ms: float) -> None:
         """Count a request."""
         self._decay(now_ms)
-        self._requests[priority] = self._requests.get(priority, 0.0) + 1.0
+        self._requests[rank] = self._requests.get(rank, 0.0) + 1.0
 
     def record_answer(self, now_ms: float) -> None:
         """Count an answer."""
         self._decay(now_ms)
         self._answers += 1.0
 
-    def share_up_to(self, priority: int) -> float:
-        """Return the share of the requests with this priority or a higher one."""
+    def share_up_to(self, rank: float) -> float:
+        """Return the share of the requests of this rank or a higher one."""
         total = sum(self._requests.values())
-        ahead = sum(one for rank, one in self._requests.items() if rank <= priority)
+        ahead = sum(count for one, count in self._requests.items() if one <= rank)
         return ahead / total if total else 1.0
 
-    def is_highest(self, priority: int) -> bool:
-        """Return whether no recent request has a higher priority."""
-        return all(rank >= priority for rank, one in self._requests.items() if one)
+    def is_highest(self, rank: float) -> bool:
+        """Return whether no recent request has a higher rank."""
+        return rank <= min(self._requests, default=rank)
 
     def excess(self) -> float:
         """Return the requests relative to the answers, 1 if all are answered."""
         total = sum(self._requests.values())
         return max(1.0, (total + DEMAND_PRIOR) / (self._answers + DEMAND_PRIOR))
 
-    def taken_part(self, priority: int) -> float:
-        """Return the part of the room that higher priorities take in an excess."""
-        share = self.share_up_to(priority - 1)
-        if not any(rank < priority for rank in self._requests):
+    def taken_part(self, rank: float) -> float:
+        """Return the part of the room that higher ranks take in an excess."""
+        higher = [one for one in self._requests if one < rank]
+        if not higher:
             return 0.0
+        share = self.share_up_to(max(higher))
         return min(TAKEN_PART_MAX, share * self.excess())
 
     def _decay(self, now_ms: float) -> None:
         kept = 0.5 ** ((now_ms - self._at_ms) / MS_PER_S / RANK_HALF_LIFE_S)
         self._at_ms = now_ms
         self._answers *= kept
-        for rank in self._requests:
-            self._requests[rank] *= kept
+        self._requests = {
+            rank: count * kept
+            for rank, count in self._requests.items()
+            if count * kept >= FORGOTTEN_COUNT
+        }
 
 
 class RoomQuery(msgspec.Struct, frozen=True):
--- a/cicadawheel/gate/repeats.py
+++ b/cicadawheel/gate/repeats.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from cicadawheel.gate.repeat_budget import RepeatBudget, RepeatBudgetReport
+from cicadawheel.gate.repeat_need import RepeatNeed, RepeatNeeds
+from cicadawheel.gate.runs import RUN_ID_SEPARATOR, Runs, request_kind
 from cicadawheel.ids import RequestId, ServiceName
 from cicadawheel.logs import log_event
 from cicadawheel.messages import CallOpen, Repeat
@@ -14,16 +16,9 @@
 
 log = logging.getLogger(__name__)
 
-RUN_ID_SEPARATOR = "."
-"""Separates the id of a run from the suffix in the ids of calls that it makes."""
-
 RUN_RETENTION_MS = 1_000.0
 """How long a run is kept past its deadline, as an upstream may end it late."""
 
-HEDGE_PART = 0.75
-"""The share of the budget for repeats beside a send that still runs (hedges); the rest
-is kept for requests that failed or were refused."""
-
 SENT = "sent"
 REFUSED = "refused"
 
@@ -67,6 +62,8 @@
         self.clock = clock
         self.budget: RepeatBudget | None = None
         self.count: CountRepeat = _discard_count
+        self.runs = Runs()
+        self._needs = RepeatNeeds()
         self._runs = RepeatedRuns()
         self._reserved: set[int] = set()
         self._service = ServiceName("")
@@ -83,19 +80,29 @@
 
     def offer(self, ticket: int, call: CallOpen) -> bool:
         """Reserve budget if a request is a repeat; return whether it may be sent."""
+        now_ms = self.clock.now_ms()
+        self._needs.received(call, now_ms)
         if self.budget is None or call.repeat is Repeat.FIRST:
             return True
-        part = HEDGE_PART if call.repeat is Repeat.SPARE else 1.0
-        if self.budget.reserve(self.clock.now_ms(), part):
+        part = self._needs.part(self._needs.need(call), now_ms)
+        if not self._is_in_vain(call, now_ms) and self.budget.reserve(now_ms, part):
             self._reserved.add(ticket)
             return True
         self.count(call.service, call.repeat, REFUSED)
         log_event(log, "repeat_refused", **self._fields(call))
         return False
 
+    def _is_in_vain(self, call: CallOpen, now_ms: float) -> bool:
+        """Return whether another run would fail, as its calls would be refused."""
+        if call.repeat not in (Repeat.FAILED, Repeat.SPARE):
+            return False
+        kind = request_kind(call.method, call.target)
+        return self.runs.are_calls_refused(kind, now_ms)
+
     def sent(self, ticket: int, call: CallOpen, expires_at_ms: float) -> None:
         """Charge a request that is sent to the upstream."""
         now_ms = self.clock.now_ms()
+        self.runs.add(ticket, call, expires_at_ms, now_ms)
         if call.repeat is Repeat.FIRST:
             if self.budget is not None:
                 self.budget.request_sent(now_ms)
@@ -108,7 +115,8 @@
         log_event(log, "repeat_sent", **self._fields(call))
 
     def ended(self, ticket: int) -> None:
-        """Cancel the reservation of a request that was never sent."""
+        """Forget a request; if it was never sent, cancel its reservation."""
+        self.runs.end(ticket)
         if ticket in self._reserved:
             self._reserved.remove(ticket)
             self.budget.cancel_reservation()
@@ -118,8 +126,12 @@
         return self._runs.contains(request)
 
     def may_repeat(self) -> bool:
-        """Return whether the budget has room for one more repeat."""
-        return self.budget is None or self.budget.allows(self.clock.now_ms())
+        """Return whether the budget has room to repeat a request of a caller."""
+        if self.budget is None:
+            return True
+        now_ms = self.clock.now_ms()
+        part = self._needs.part(RepeatNeed.REFUSED, now_ms)
+        return self.budget.allows(now_ms, part)
 
     def report(self) -> RepeatBudgetReport | None:
         """Return the state of the budget for operators, or None without a budget."""
@@ -134,6 +146,8 @@
             "request": call.request,
             "service": call.service,
             "cause": call.repeat.value,
+            "need": self._needs.need(call).value,
+            "spent_ms": call.spent_ms,
             **known,
         }
 
