Outer requests whose calls are almost surely refused are refused at the door

Cause: a run whose calls are all refused for lack of room at the inner service works in vain and takes a slot. The entry of an outer request didn't know.

Change: a node counts, by kind of request, the runs of its own upstream that failed and the calls of theirs that were refused unrun; if nearly all were, its entry refuses such requests at once.

--- a/cicadawheel/entry/door.py
+++ b/cicadawheel/entry/door.py
@@ -6,9 +6,11 @@
 
 import logging
 from random import Random
+from typing import Protocol
 
 import msgspec
 
+from cicadawheel.announcement import Announcement
 from cicadawheel.entry.comeback import Comebacks
 from cicadawheel.entry.placement import CallProfile
 from cicadawheel.entry.plan import CallPlan
@@ -22,6 +24,9 @@
 )
 from cicadawheel.entry.router import Router
 from cicadawheel.entry.tries import covers_tries, mean_shed_share
+from cicadawheel.gate.inner_calls import InnerCalls
+from cicadawheel.gate.repeats import GateRepeats
+from cicadawheel.gate.runs import request_kind
 from cicadawheel.ids import ServiceName
 from cicadawheel.logs import log_event
 from cicadawheel.messages import RefusalReason
@@ -61,6 +66,14 @@
         self.room: Room | None = None
 
 
+class UpstreamGate(Protocol):
+    """What the gate of this node knows of the runs of its upstream."""
+
+    announcement: Announcement | None
+    inner_calls: InnerCalls
+    repeats: GateRepeats
+
+
 class Door:
     """Refuses calls for which a service has no room, and spreads their return.
 
@@ -134,6 +147,32 @@
             )
         return reason
 
+    def call_ended(
+        self, plan: CallPlan, refused: bool, gate: UpstreamGate, now_ms: float
+    ) -> None:
+        """Record how a call ended, if a run of this node's upstream has made it."""
+        outer = gate.repeats.runs.outer(plan.request) if plan.spent_ms else None
+        if outer is not None:
+            gate.inner_calls.call_ended(outer.kind, refused, now_ms)
+
+    def is_in_vain(self, plan: CallPlan, gate: UpstreamGate, now_ms: float) -> bool:
+        """Return whether the calls of a run would almost surely be refused.
+
+        That is known only of the service whose upstream this node has.
+        """
+        announced = gate.announcement
+        if announced is None or announced.service != plan.service:
+            return False
+        kind = request_kind(plan.method, plan.target)
+        if not gate.inner_calls.are_refused(kind, now_ms):
+            return False
+        reason = RefusalReason.OVERLOAD
+        self.metrics.count_door_refusal(plan.service, reason)
+        log_event(
+            log, "call_in_vain", request=plan.request, service=plan.service, kind=kind
+        )
+        return True
+
     def may_try_elsewhere(self, plan: CallPlan, share: float, now_ms: float) -> bool:
         """Return whether a request that an upstream declined is sent to another one.
 
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -17,6 +17,7 @@
 from cicadawheel.entry.door import Door, DoorReport
 from cicadawheel.entry.latency import Latencies
 from cicadawheel.entry.nested import plan_nested
+from cicadawheel.entry.no_view import refuse_without_view
 from cicadawheel.entry.owner import CallEnd
 from cicadawheel.entry.peers import CallHandle, PeerLinks
 from cicadawheel.entry.placement import CallProfile, WorkTimes
@@ -24,7 +25,6 @@
 from cicadawheel.entry.probing import PROBE_COST_BYTES, ProbeLimiter
 from cicadawheel.entry.repeats import FIRST_SERVER_ERROR, Repeats
 from cicadawheel.entry.retry import RetryBudgetReport
-from cicadawheel.entry.retry_after import retry_after_ms
 from cicadawheel.entry.router import Router, RouterReport
 from cicadawheel.entry.routes import RouteTable
 from cicadawheel.entry.versions import Pick, Versions
@@ -224,26 +224,9 @@
         named = find_field(request.headers, self.dialect.request_id) or b""
         request_id = named.decode("latin-1")
         if not self.configuration.revision:
-            # Without a configuration it is unknown which routes must not be repeated.
-            delay_ms = 0.0
-            if self.dialect.seal:
-                delay_ms = retry_after_ms(
-                    RefusalReason.NO_VIEW, 0.0, self.router.random
-                )
-            answer = answer_refusal(
-                RefusalReason.NO_VIEW, True, request_id, self.dialect, delay_ms
+            refuse_without_view(
+                connection, request_id, self.node, self.dialect, self.router.random
             )
-            log_event(
-                log,
-                "call_refused",
-                request=request_id,
-                service="",
-                node=self.node,
-                reason=RefusalReason.NO_VIEW.value,
-                not_run=True,
-                attempts=0,
-            )
-            connection.respond(answer.status, answer.headers, answer.body)
             return None
         plan = self._plan(request)
         if not isinstance(plan, CallPlan):
@@ -366,9 +349,14 @@
         self, plan: CallPlan, node: NodeId, left_ms: float
     ) -> RefusalReason | None:
         """Return the reason to refuse a call for which there is no room, or None."""
-        if not self.repeats.shared or self.router.has_free_slot(node):
+        now_ms = self.clock.now_ms()
+        if not self.repeats.shared:
+            return None
+        if self.door.is_in_vain(plan, self.gate, now_ms):
+            return RefusalReason.OVERLOAD
+        if self.router.has_free_slot(node):
             return None
-        profile, now_ms = self._profile(plan), self.clock.now_ms()
+        profile = self._profile(plan)
         return self.door.reason_to_refuse(plan, profile, left_ms, now_ms)
 
     def may_try_elsewhere(self, plan: CallPlan, refused: Refused) -> bool:
@@ -480,6 +468,8 @@
         """Deregister a call and count how it ended."""
         self.calls.discard(call)
         self.metrics.count_call(call.plan.service, end)
+        refused, now_ms = end is CallEnd.NOT_RUN, self.clock.now_ms()
+        self.door.call_ended(call.plan, refused, self.gate, now_ms)
         if not self.calls:
             self.idle.set()
 
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -15,6 +15,7 @@
 from cicadawheel.gate.failures import FailureShare, is_failure
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.health import HealthReader, HealthReport, read_load
+from cicadawheel.gate.inner_calls import InnerCalls
 from cicadawheel.gate.load_publisher import LoadPublisher
 from cicadawheel.gate.repeat_budget import RepeatBudgetReport
 from cicadawheel.gate.repeats import GateRepeats
@@ -99,6 +100,7 @@
         self.publisher = LoadPublisher(timers, lambda: self.load())
         self._failures = FailureShare()
         self.shedding = Shedding()
+        self.inner_calls = InnerCalls()
         self.pool = UpstreamPool(settings.connect_timeout_ms)
         self._health: HealthReader | None = None
         if settings.limit == REPORTED_LIMIT:
@@ -320,6 +322,7 @@
         if result is Result.SHED and self.shedding.is_full(now_ms):
             return
         self.shedding.ended(result, now_ms)
+        self.inner_calls.run_ended(call.kind, result is Result.FAILED, now_ms)
         load = self.admission.load(self.configuration.revision, now_ms)
         took_ms = now_ms - call.admitted_at_ms
         failed = is_failure(result, load, took_ms, call.call.work_ms)
