Nested calls that an upstream declined are sent elsewhere whatever their priority

Nobody comes back with a nested call: its outer request, whose work was done, failed.

Change: nested calls always get a try, as far as the retry budget goes.

--- a/cicadawheel/entry/door.py
+++ b/cicadawheel/entry/door.py
@@ -180,7 +180,8 @@
         """
         demand = self._state(plan.service).demand
         rank = _rank(plan)
-        if demand.is_highest(rank):
+        # Nobody comes back with a nested call: its outer request has failed.
+        if plan.spent_ms or demand.is_highest(rank):
             return True
         candidates = self.router.open_candidates(plan.service, now_ms)
         shed_share = mean_shed_share(candidates, self.half_life_ms, now_ms)
--- a/test/test_shedding.py
+++ b/test/test_shedding.py
@@ -149,6 +149,22 @@
         assert repeats <= BUDGET_SHARE * sent + BUDGET_SLACK
 
 
+def test_nested_call_gets_a_try_whatever_its_priority():
+    fleet = SheddingFleet(1, by_priority=True)
+    door, now_ms = fleet.doors[0], 1_000.0
+    for gate in range(GATES):
+        for number in range(20):
+            fleet._ended(gate, Result.SHED, now_ms + number)
+    plans = [make_plan(Call(number, now_ms, number % 2), now_ms) for number in range(9)]
+    for plan in plans:
+        door.call_began(plan, now_ms)
+    urgent, other = plans[:2]
+    assert door.may_try_elsewhere(urgent, BUDGET_SHARE, now_ms)
+    assert not door.may_try_elsewhere(other, BUDGET_SHARE, now_ms)
+    nested = replace(other, spent_ms=100.0)
+    assert door.may_try_elsewhere(nested, BUDGET_SHARE, now_ms)
+
+
 def test_full_upstream_is_told_from_a_faulty_one_by_its_own_report():
     shedding = Shedding()
     assert not shedding.is_full(0.0)
