--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -76,6 +76,10 @@
 }
 
 
+RESETS = frozenset((ExchangeEnd.UNREACHABLE, ExchangeEnd.LOST))
+"""How an exchange may end with an upstream that is full."""
+
+
 class CallGate(Protocol):
     """The parts of a gate that a call uses."""
 
@@ -326,12 +330,12 @@
         """Refuse the call with the reason that belongs to the end of its exchange."""
         if self.state is CallState.ENDED:
             return
-        if end is ExchangeEnd.LOST and self._was_reset_by_full_upstream():
+        if end in RESETS and self._is_upstream_full():
             self._refuse(RefusalReason.OVERLOAD, not_run, Result.SHED)
             return
         self._refuse(REASON_OF_END[end], not_run, RESULT_OF_END[end])
 
-    def _was_reset_by_full_upstream(self) -> bool:
+    def _is_upstream_full(self) -> bool:
         """Return whether the upstream lives and has more requests than slots."""
         if self.gate.guard.crashes.dead:
             return False
--- a/test/test_shedding.py
+++ b/test/test_shedding.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import heapq
+import socket
 from collections import Counter
 from functools import cache
 from itertools import count
@@ -27,7 +28,7 @@
 from cicadawheel.gate.shedding import TOLD_VALID_MS, Shedding
 from cicadawheel.messages import LoadReport, RefusalReason
 from cicadawheel.metrics import NodeMetrics
-from cicadawheel.settings import EntrySettings
+from cicadawheel.settings import Address, EntrySettings
 
 GATES, ENTRIES, CALLS_PER_S = 18, 30, 300.0
 SHED_MS, SHED_SHARE = (5_000.0, 13_500.0), 0.55
@@ -187,6 +188,25 @@
         writer.transport.abort()
 
 
+def test_full_upstream_that_takes_no_connection_is_no_fault():
+    async def run():
+        async with serve_gate(ResettingUpstream()) as gate:
+            with socket.socket() as closed:
+                closed.bind(("127.0.0.1", 0))
+                gate.pool.retarget(Address(*closed.getsockname()), 20)
+                load = UpstreamLoad(in_flight=4, slots=4, queued=1)
+                gate.shedding.load_told(load, gate.clock.now_ms() + 5_000.0)
+                messages = []
+                gate.open(make_call("r1"), messages.append)
+                await until(lambda: messages)
+            (refused,) = messages
+            assert refused.reason is RefusalReason.OVERLOAD
+            assert refused.not_run
+            assert gate.load().failure_share == 0.0
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     ("queued", "reason", "share"),
     [(1, RefusalReason.OVERLOAD, 0.0), (0, RefusalReason.UPSTREAM_DIED, 0.1)],
