--- a/cicadawheel/entry/door.py
+++ b/cicadawheel/entry/door.py
@@ -214,7 +214,7 @@
             return 0.0
         service = plan.service
         wait_ms = self.router.shortest_wait_ms(service, profile, plan.target_ms)
-        if reason not in TOLD_REASONS:
+        if reason not in TOLD_REASONS or plan.spent_ms:
             return retry_after_ms(reason, wait_ms, self.router.random)
         comebacks = self._state(service).comebacks
         delay_ms = comebacks.delay_ms(wait_ms, profile.work_ms, left_ms, now_ms)
--- a/cicadawheel/entry/room.py
+++ b/cicadawheel/entry/room.py
@@ -41,7 +41,7 @@
 """The demand counts as met while there are not clearly more requests than these."""
 
 TAKEN_PART_MAX = 0.8
-"""Higher priorities are assumed to leave this much of the room at least."""
+"""Higher priorities are assumed to take no larger part of the room."""
 
 
 class Demand:
