--- a/cicadawheel/gate/repeats.py
+++ b/cicadawheel/gate/repeats.py
@@ -23,6 +23,7 @@
 REFUSED = "refused"
 
 CountRepeat = Callable[[ServiceName, Repeat, str], None]
+CountNeed = Callable[[ServiceName, RepeatNeed, str], None]
 
 
 class RepeatedRuns:
@@ -62,6 +63,7 @@
         self.clock = clock
         self.budget: RepeatBudget | None = None
         self.count: CountRepeat = _discard_count
+        self.count_need: CountNeed = _discard_count
         self.runs = Runs()
         self._needs = RepeatNeeds()
         self._runs = RepeatedRuns()
@@ -84,11 +86,11 @@
         self._needs.received(call, now_ms)
         if self.budget is None or call.repeat is Repeat.FIRST:
             return True
-        part = self._needs.part(self._needs.need(call), now_ms)
+        part = self._needs.part(call, now_ms)
         if not self._is_in_vain(call, now_ms) and self.budget.reserve(now_ms, part):
             self._reserved.add(ticket)
             return True
-        self.count(call.service, call.repeat, REFUSED)
+        self._count(call, REFUSED)
         log_event(log, "repeat_refused", **self._fields(call))
         return False
 
@@ -111,7 +113,7 @@
             self._reserved.remove(ticket)
             self.budget.spend(now_ms)
         self._runs.add(call.request, expires_at_ms, now_ms)
-        self.count(call.service, call.repeat, SENT)
+        self._count(call, SENT)
         log_event(log, "repeat_sent", **self._fields(call))
 
     def ended(self, ticket: int) -> None:
@@ -126,12 +128,8 @@
         return self._runs.contains(request)
 
     def may_repeat(self) -> bool:
-        """Return whether the budget has room to repeat a request of a caller."""
-        if self.budget is None:
-            return True
-        now_ms = self.clock.now_ms()
-        part = self._needs.part(RepeatNeed.REFUSED, now_ms)
-        return self.budget.allows(now_ms, part)
+        """Return whether the budget has room for one more repeat."""
+        return self.budget is None or self.budget.allows(self.clock.now_ms())
 
     def report(self) -> RepeatBudgetReport | None:
         """Return the state of the budget for operators, or None without a budget."""
@@ -139,6 +137,10 @@
             return None
         return self.budget.report(self.clock.now_ms())
 
+    def _count(self, call: CallOpen, outcome: str) -> None:
+        self.count(call.service, call.repeat, outcome)
+        self.count_need(call.service, self._needs.need(call), outcome)
+
     def _fields(self, call: CallOpen) -> dict[str, Any]:
         report = self.report()
         known = {} if report is None else msgspec.structs.asdict(report)
@@ -152,5 +154,7 @@
         }
 
 
-def _discard_count(service: ServiceName, cause: Repeat, outcome: str) -> None:
+def _discard_count(
+    service: ServiceName, cause: Repeat | RepeatNeed, outcome: str
+) -> None:
     """Discard the count; used without metrics."""
