--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -15,8 +15,10 @@
 from cicadawheel.entry.answer_size import AnswerSizes
 from cicadawheel.entry.call import EntryCall
 from cicadawheel.entry.claim import ClaimClient
+from cicadawheel.entry.door import Door, DoorReport
 from cicadawheel.entry.latency import Latencies
 from cicadawheel.entry.nested import plan_nested
+from cicadawheel.entry.no_view import refuse_without_view
 from cicadawheel.entry.owner import CallEnd
 from cicadawheel.entry.peers import CallHandle, PeerLinks
 from cicadawheel.entry.placement import CallProfile, WorkTimes
@@ -24,7 +26,6 @@
 from cicadawheel.entry.probing import PROBE_COST_BYTES, ProbeLimiter
 from cicadawheel.entry.repeats import FIRST_SERVER_ERROR, Repeats
 from cicadawheel.entry.retry import RetryBudgetReport
-from cicadawheel.entry.retry_after import retry_after_ms
 from cicadawheel.entry.router import Router, RouterReport
 from cicadawheel.entry.routes import RouteTable
 from cicadawheel.entry.transfer import LinkMeter
@@ -77,6 +78,7 @@
     retry_budgets: list[RetryBudgetReport]
     quarantined: list[Fingerprint]
     answer_bytes: dict[str, float]
+    door: list[DoorReport]
 
 
 class Entry:
@@ -143,6 +145,7 @@
         self.answer_sizes = AnswerSizes()
         self.link = LinkMeter(link_mbps)
         self.relayed_bytes = 0
+        self.door = Door(router, settings.report_half_life_ms, metrics)
         self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
         self.probe_limiter = ProbeLimiter()
@@ -233,26 +236,9 @@
         named = find_field(request.headers, self.dialect.request_id) or b""
         request_id = named.decode("latin-1")
         if not self.configuration.revision:
-            # Without a configuration it is unknown which routes must not be repeated.
-            delay_ms = 0.0
-            if self.dialect.seal:
-                delay_ms = retry_after_ms(
-                    RefusalReason.NO_VIEW, 0.0, self.router.random
-                )
-            answer = answer_refusal(
-                RefusalReason.NO_VIEW, True, request_id, self.dialect, delay_ms
+            refuse_without_view(
+                connection, request_id, self.node, self.dialect, self.router.random
             )
-            log_event(
-                log,
-                "call_refused",
-                request=request_id,
-                service="",
-                node=self.node,
-                reason=RefusalReason.NO_VIEW.value,
-                not_run=True,
-                attempts=0,
-            )
-            connection.respond(answer.status, answer.headers, answer.body)
             return None
         plan = self._plan(request)
         if not isinstance(plan, CallPlan):
@@ -273,6 +259,7 @@
             self.metrics.count_nested(plan.service, plan.spent_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
         reserve.record_request(plan.priority, now_ms)
+        self.door.call_began(plan, now_ms)
         within = self.gate.repeats.is_within(plan.request)
         call = EntryCall(self, connection, request, plan, within)
         self.calls.add(call)
@@ -294,17 +281,15 @@
         return (*kept, Header(name, self.caller_service.encode()))
 
     def answer_refusal(
-        self, plan: CallPlan, reason: RefusalReason, not_run: bool
+        self, plan: CallPlan, reason: RefusalReason, not_run: bool, left_ms: float
     ) -> Answer:
         """Return the entry's own answer to a call that got none from an upstream."""
         delay_ms = 0.0
         if reason is RefusalReason.RETRY_BUDGET and plan.spent_ms:
             self.gate.repeats.runs.call_refused(plan.request, self.clock.now_ms())
         if not_run and self.dialect.seal:
-            wait_ms = self.router.shortest_wait_ms(
-                plan.service, self._profile(plan), plan.target_ms
-            )
-            delay_ms = retry_after_ms(reason, wait_ms, self.router.random)
+            profile, now_ms = self._profile(plan), self.clock.now_ms()
+            delay_ms = self.door.retry_after_ms(plan, profile, reason, left_ms, now_ms)
         return answer_refusal(reason, not_run, plan.request, self.dialect, delay_ms)
 
     def pick(
@@ -375,6 +360,28 @@
         """
         return self.repeats.shared and self.router.has_free_slot(node)
 
+    def reason_without_room(
+        self, plan: CallPlan, node: NodeId, left_ms: float
+    ) -> RefusalReason | None:
+        """Return the reason to refuse a call for which there is no room, or None."""
+        now_ms = self.clock.now_ms()
+        if not self.repeats.shared:
+            return None
+        if self.door.is_in_vain(plan, self.gate, now_ms):
+            return RefusalReason.OVERLOAD
+        if self.router.has_free_slot(node):
+            return None
+        profile = self._profile(plan)
+        return self.door.reason_to_refuse(plan, profile, left_ms, now_ms)
+
+    def may_try_elsewhere(self, plan: CallPlan, refused: Refused) -> bool:
+        """Return whether the budget is left to a call that an upstream declined."""
+        declined = refused.reached and refused.reason is RefusalReason.OVERLOAD
+        if not self.repeats.shared or not declined:
+            return True
+        share, now_ms = self.settings.retry_share, self.clock.now_ms()
+        return self.door.may_try_elsewhere(plan, share, now_ms)
+
     def count_unsent_repeat(self, plan: CallPlan, cause: Repeat) -> None:
         """Count a repeat that isn't sent because every gate would refuse it."""
         self.metrics.count_repeat(plan.service, cause, "unsent")
@@ -388,6 +395,7 @@
         if good:
             slowness = max(self.router.slowness(node), head.load.slowness)
             self.work_times.add(plan.route, latency_ms, slowness)
+            self.door.call_answered(plan, now_ms)
         self.router.ended(node, head.load, now_ms)
         if self.router.answered(node, good, now_ms):
             log_event(log, "upstream_ejected", node=node, reason="bad answers")
@@ -503,6 +511,8 @@
         self.relayed_bytes += call.relayed_bytes
         if end is CallEnd.ANSWERED and call.status < FIRST_SERVER_ERROR:
             self.answer_sizes.add(call.plan.route, call.relayed_bytes)
+        refused, now_ms = end is CallEnd.NOT_RUN, self.clock.now_ms()
+        self.door.call_ended(call.plan, refused, self.gate, now_ms)
         if not self.calls:
             self.idle.set()
 
@@ -533,4 +543,5 @@
             retry_budgets=self.repeats.report(),
             quarantined=sorted(self.quarantined),
             answer_bytes=self.answer_sizes.report(),
+            door=self.door.report(self.clock.now_ms()),
         )
--- a/cicadawheel/gate/call.py
+++ b/cicadawheel/gate/call.py
@@ -20,6 +20,7 @@
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.reported_admission import ReportedAdmission
 from cicadawheel.gate.runs import request_kind
+from cicadawheel.gate.shedding import Shedding
 from cicadawheel.holdings import Holdings
 from cicadawheel.http.dialect import Dialect
 from cicadawheel.http.fields import (
@@ -77,6 +78,10 @@
 }
 
 
+RESETS = frozenset((ExchangeEnd.UNREACHABLE, ExchangeEnd.LOST))
+"""How an exchange may end with an upstream that is full."""
+
+
 class CallGate(Protocol):
     """The parts of a gate that a call uses."""
 
@@ -86,6 +91,7 @@
     pool: UpstreamPool
     guard: CrashGuard
     repeats: GateRepeats
+    shedding: Shedding
     admission: Admission | ReportedAdmission
     announcement: Announcement | None
     holdings: Holdings
@@ -340,8 +346,18 @@
 
     def end_exchange(self, end: ExchangeEnd, not_run: bool = False) -> None:
         """Refuse the call with the reason that belongs to the end of its exchange."""
-        if self.state is not CallState.ENDED:
-            self._refuse(REASON_OF_END[end], not_run, RESULT_OF_END[end])
+        if self.state is CallState.ENDED:
+            return
+        if end in RESETS and self._is_upstream_full():
+            self._refuse(RefusalReason.OVERLOAD, not_run, Result.SHED)
+            return
+        self._refuse(REASON_OF_END[end], not_run, RESULT_OF_END[end])
+
+    def _is_upstream_full(self) -> bool:
+        """Return whether the upstream lives and has more requests than slots."""
+        if self.gate.guard.crashes.dead:
+            return False
+        return self.gate.shedding.is_full(self.gate.clock.now_ms())
 
     def upstream_writable(self) -> None:
         """Grant the entry credit to send more of the request body."""
