--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -24,6 +24,7 @@
     read_request,
 )
 from cicadawheel.http.pieces import FIELDS_LIMIT, too_small
+from cicadawheel.http.refused_pace import RefusedPace
 from cicadawheel.http.run_order import DEFAULT_LIMITS, AheadLimits, RunOrder
 from cicadawheel.http.unread import has_unread_bytes
 from cicadawheel.logs import log_event
@@ -122,6 +123,7 @@
         self._requests: deque[CallerRequest] = deque()
         """The requests whose answers haven't been sent whole, in their order."""
         self._order = RunOrder(ahead)
+        self._pace = RefusedPace()
         self._transport: asyncio.Transport | None = None
         self._processing_events = False
         self._turn_pending = False
@@ -267,6 +269,10 @@
         self._write(data)
         return True
 
+    def count_answer(self, status: int) -> None:
+        """Count an answer that begins; many refusals slow its connection down."""
+        self._pace.answered(status)
+
     def cut(self, request: CallerRequest) -> None:
         """End the connection in the place of an answer that isn't complete."""
         if request is self._requests[0]:
@@ -463,6 +469,11 @@
             return False
         if self._requests and not self._may_read_ahead():
             return False
+        wait_s = self._pace.wait_s(asyncio.get_running_loop().time())
+        if wait_s > 0.0:
+            self._turn_pending = True
+            asyncio.get_running_loop().call_later(wait_s, self._process_next_turn)
+            return False
         if self._http.their_state is not h11.DONE:
             # Nothing follows a refusal that was sent before its request was read.
             return self._http.states == {h11.CLIENT: h11.IDLE, h11.SERVER: h11.IDLE}
@@ -508,6 +519,7 @@
     def _begin_request(self, head: RequestHead) -> None:
         self.state = ConnectionState.IN_CALL
         self._head_started_s = None
+        self._pace.read(asyncio.get_running_loop().time())
         request = self._add_request(head)
         if head.method == b"CONNECT":
             request.refuse(NOT_IMPLEMENTED_STATUS, "tunnels aren't supported")
--- a/cicadawheel/http/caller_request.py
+++ b/cicadawheel/http/caller_request.py
@@ -84,6 +84,9 @@
     def request_answered(self, request: "CallerRequest") -> None:
         """Handle the end of an answer."""
 
+    def count_answer(self, status: int) -> None:
+        """Count an answer that begins."""
+
     def cut(self, request: "CallerRequest") -> None:
         """Close the connection so that an answer is seen as incomplete."""
 
@@ -248,6 +251,7 @@
             self.kept += data
 
     def _frame_head(self, status: int, fields: Fields) -> bytes:
+        self._connection.count_answer(status)
         return self.http.send(h11.Response(status_code=status, headers=fields))
 
     def _response_fields(self, headers: tuple[Header, ...]) -> Fields:
