--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -12,9 +12,11 @@
     answer_fault,
     answer_refusal,
 )
+from cicadawheel.entry.answer_size import AnswerSizes
 from cicadawheel.entry.call import EntryCall
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.latency import Latencies
+from cicadawheel.entry.nested import plan_nested
 from cicadawheel.entry.owner import CallEnd
 from cicadawheel.entry.peers import CallHandle, PeerLinks
 from cicadawheel.entry.placement import CallProfile, WorkTimes
@@ -25,6 +27,7 @@
 from cicadawheel.entry.retry_after import retry_after_ms
 from cicadawheel.entry.router import Router, RouterReport
 from cicadawheel.entry.routes import RouteTable
+from cicadawheel.entry.transfer import LinkMeter
 from cicadawheel.entry.versions import Pick, Versions
 from cicadawheel.gate.gate import Gate
 from cicadawheel.http.caller import CallerConnection
@@ -73,6 +76,7 @@
     router: RouterReport
     retry_budgets: list[RetryBudgetReport]
     quarantined: list[Fingerprint]
+    answer_bytes: dict[str, float]
 
 
 class Entry:
@@ -102,6 +106,8 @@
         Selects the version of a service for each call.
     dialect : Dialect
         The header fields that callers and upstreams use.
+    link_mbps : float
+        The rate of this VM's link, 0 if it is unknown.
     """
 
     def __init__(
@@ -117,6 +123,7 @@
         metrics: NodeMetrics,
         versions: Versions,
         dialect: Dialect = OWN_DIALECT,
+        link_mbps: float = 0.0,
     ):
         self.node = node
         self.settings = settings
@@ -133,6 +140,9 @@
         self.caller_service = ServiceName("")
         self.repeats = Repeats(settings, router, clock)
         self.work_times = WorkTimes()
+        self.answer_sizes = AnswerSizes()
+        self.link = LinkMeter(link_mbps)
+        self.relayed_bytes = 0
         self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
         self.probe_limiter = ProbeLimiter()
@@ -257,6 +267,10 @@
             connection.respond(answer.status, answer.headers, answer.body)
             return None
         now_ms = self.clock.now_ms()
+        outer = self.gate.repeats.runs.outer(plan.request)
+        if outer is not None:
+            plan = plan_nested(plan, outer, now_ms)
+            self.metrics.count_nested(plan.service, plan.spent_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
         reserve.record_request(plan.priority, now_ms)
         within = self.gate.repeats.is_within(plan.request)
@@ -284,6 +298,8 @@
     ) -> Answer:
         """Return the entry's own answer to a call that got none from an upstream."""
         delay_ms = 0.0
+        if reason is RefusalReason.RETRY_BUDGET and plan.spent_ms:
+            self.gate.repeats.runs.call_refused(plan.request, self.clock.now_ms())
         if not_run and self.dialect.seal:
             wait_ms = self.router.shortest_wait_ms(
                 plan.service, self._profile(plan), plan.target_ms
@@ -298,7 +314,9 @@
 
         ``only_at``, if set, is the only node that may run the request.
         """
-        profile = self._profile(plan, body_bytes)
+        # The first attempt has all of the time; later ones go where they end soonest.
+        target_ms = 0.0 if tried else plan.target_ms
+        profile = self._profile(plan, body_bytes, target_ms)
         now_ms = self.clock.now_ms()
         choice = self.versions.choose(plan.service, retry=bool(tried))
         if only_at:
@@ -415,11 +433,21 @@
         done_ms = self.router.work_done_ms(pick.member.node, now_ms) - pick.work_ms
         return self.router.gain_ms(pick.member, other.member, profile, done_ms)
 
-    def _profile(self, plan: CallPlan, body_bytes: int = 0) -> CallProfile:
+    def _profile(
+        self, plan: CallPlan, body_bytes: int = 0, target_ms: float = 0.0
+    ) -> CallProfile:
         reserve = self._reserves.get(plan.service)
         usable_part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
+        answer_bytes = self.answer_sizes.usual_bytes(plan.route)
         return CallProfile(
-            self.work_times.usual_ms(plan.route), body_bytes, usable_part
+            self.work_times.usual_ms(plan.route),
+            body_bytes,
+            usable_part,
+            answer_bytes,
+            transfer_ms=self.link.answer_ms(answer_bytes),
+            link_use=self.link.use,
+            target_ms=target_ms,
+            priority=plan.priority,
         )
 
     def consider_hedges(self, now_ms: float) -> None:
@@ -429,6 +457,22 @@
         for call in list(self.calls):
             call.consider_hedge()
 
+    def watch_flows(self, now_ms: float) -> None:
+        """Log the flows that have changed, and use the far upstreams they need."""
+        for flow in self.router.flows.changes():
+            log_event(
+                log,
+                "flow_changed",
+                service=flow.service,
+                priority=flow.priority,
+                share=flow.share,
+                pressure=flow.pressure,
+                reason=flow.why,
+            )
+        if self.router.review_subsets():
+            self._update_links()
+        self.metrics.set_flow_gauges(self.router.flows.report(), self.link.use)
+
     def hedge_delay_ms(self, plan: CallPlan) -> float | None:
         """Return the delay after which a call is hedged, None if it never is."""
         quantile = plan.hedge_after_quantile
@@ -456,6 +500,9 @@
         """Deregister a call and count how it ended."""
         self.calls.discard(call)
         self.metrics.count_call(call.plan.service, end)
+        self.relayed_bytes += call.relayed_bytes
+        if end is CallEnd.ANSWERED and call.status < FIRST_SERVER_ERROR:
+            self.answer_sizes.add(call.plan.route, call.relayed_bytes)
         if not self.calls:
             self.idle.set()
 
@@ -485,4 +532,5 @@
             router=self.router.report(self.clock.now_ms()),
             retry_budgets=self.repeats.report(),
             quarantined=sorted(self.quarantined),
+            answer_bytes=self.answer_sizes.report(),
         )
--- a/cicadawheel/entry/router.py
+++ b/cicadawheel/entry/router.py
@@ -16,6 +16,7 @@
     Ejections,
 )
 from cicadawheel.entry.group import Group, make_group
+from cicadawheel.entry.locality import FlowReport, Flows
 from cicadawheel.entry.placement import DEFAULT_PROFILE, CallProfile, expected_answer_ms
 from cicadawheel.entry.policy import make_policy
 from cicadawheel.ids import (
@@ -72,6 +73,7 @@
     policy: str
     candidates: list[CandidateReport]
     ejected: list[EjectionReport]
+    flows: list[FlowReport]
 
 
 class Router:
@@ -102,13 +104,15 @@
         self.configuration = Configuration()
         self.ejections = Ejections()
         self.random = random
-        self._policy = make_policy(settings, random)
+        self.flows = Flows()
+        self._policy = make_policy(settings, random, self.flows)
         self._candidates: dict[NodeId, Candidate] = {}
         self._by_service: dict[ServiceName, list[Candidate]] = {}
         self._groups: dict[tuple[ServiceName, VersionName], Group] = {}
         self._usual_ms: dict[ServiceName, float] = {}
         self._called_at_ms: dict[ServiceName, float] = {}
         self._probed_at_ms: dict[NodeId, float] = {}
+        self._leaving: frozenset[ServiceName] = frozenset()
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration."""
@@ -168,6 +172,18 @@
         unused = [candidate.member for candidate in filter(untried, group.unused)]
         return self.random.choice(unused) if unused else None
 
+    def review_subsets(self) -> bool:
+        """Use more distant upstreams of the services whose calls leave, else fewer.
+
+        Returns whether the upstreams in use may have changed.
+        """
+        leaving = self.flows.leaving(self._leaving)
+        if leaving == self._leaving:
+            return False
+        self._leaving = leaving
+        self._groups.clear()
+        return True
+
     def load_estimate(self, node: NodeId, now_ms: float) -> LoadEstimate:
         """Return the load estimate by which a node is selected."""
         candidate = self._candidates.get(node)
@@ -367,7 +383,10 @@
             for node, candidate in self._candidates.items()
         ]
         return RouterReport(
-            self.settings.policy, candidates, self.ejections.report(now_ms)
+            self.settings.policy,
+            candidates,
+            self.ejections.report(now_ms),
+            self.flows.report(),
         )
 
     def _members(self) -> list[Member]:
@@ -403,5 +422,10 @@
             # The group of all versions is the same, and ranking is costly.
             return self._group(service, VersionName(""))
         return make_group(
-            candidates, version, self.configuration, self.data_centre, self.node
+            candidates,
+            version,
+            self.configuration,
+            self.data_centre,
+            self.node,
+            service in self._leaving,
         )
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -16,6 +16,7 @@
 from cicadawheel.gate.guard import CrashGuard
 from cicadawheel.gate.health import HealthReader, HealthReport, read_load
 from cicadawheel.gate.load_publisher import LoadPublisher
+from cicadawheel.gate.refusals import GateRefusals
 from cicadawheel.gate.repeat_budget import RepeatBudgetReport
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.reported_admission import ReportedAdmission
@@ -98,6 +99,7 @@
         self.admission = make_admission(settings)
         self.publisher = LoadPublisher(timers, lambda: self.load())
         self._failures = FailureShare()
+        self.link_use = 0.0
         self.pool = UpstreamPool(settings.connect_timeout_ms)
         self._health: HealthReader | None = None
         if settings.limit == REPORTED_LIMIT:
@@ -109,6 +111,7 @@
             node, self.pool, self.clock, self._upstream_died, self._refuse_waiting
         )
         self.repeats = GateRepeats(self.clock)
+        self.refusals = GateRefusals()
         self.reports = ReportReader(ReportWatch(settings))
         self._restarts_logged = 0
         self._suspicions_logged = 0
@@ -217,6 +220,7 @@
             load,
             may_repeat=self.repeats.may_repeat(),
             failure_share=self._failures.value(self.clock.now_ms()),
+            link_use=self.link_use,
         )
 
     def open(self, call: CallOpen, sink: ReplySink) -> GateCall:
@@ -232,6 +236,7 @@
         if refusal is None and not self.repeats.offer(ticket, call):
             refusal = RefusalReason.RETRY_BUDGET
         if refusal is not None:
+            self.refusals.add(gate_call.kind, refusal)
             gate_call.refuse(refusal, not_run=True)
             return gate_call
         gate_call.count_held()
@@ -240,7 +245,7 @@
         target_ms = call.target_ms
         target_at_ms = now_ms + target_ms if target_ms else 0.0
         hints = SchedulingHints(
-            target_at_ms, call.priority, call.work_ms, call.immediate
+            target_at_ms, call.priority, call.work_ms, call.immediate, call.spent_ms
         )
         decision = self.admission.offer(
             ticket,
@@ -457,6 +462,7 @@
             if decision.verdict is Verdict.ADMIT:
                 call.admit()
             elif decision.verdict is Verdict.REFUSE:
+                self.refusals.add(call.kind, decision.reason)
                 call.refuse(decision.reason, not_run=True)
 
 
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server connections for callers, which may send requests ahead."""
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections import deque
@@ -81,6 +82,7 @@
     IDLE = "idle"
     IN_CALL = "in call"
     LINGERING = "lingering"
+    ENDING = "ending"
     CLOSED = "closed"
 
 
@@ -124,8 +126,10 @@
         """The requests whose answers haven't been sent whole, in their order."""
         self._order = RunOrder(ahead)
         self._pace = RefusedPace()
+        self._sends_ahead = False
         self._transport: asyncio.Transport | None = None
         self._processing_events = False
+        self._starting = False
         self._turn_pending = False
         self._held_back = False
         self._holdings = holdings
@@ -147,6 +151,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and handle the resulting events."""
+        if self.state is ConnectionState.ENDING:
+            return
         self._http.receive_data(data)
         if self._holding is not None and self._requests:
             self._holding.move(len(data))
@@ -161,9 +167,9 @@
         if self._transport is None:
             return
         self._update_holding()
-        if self.state is ConnectionState.LINGERING:
+        if self.state in (ConnectionState.LINGERING, ConnectionState.ENDING):
             if now_s - self._idle_since_s > LINGER_TIMEOUT_S:
-                self._transport.close()
+                self._close()
             return
         if self.state is not ConnectionState.IDLE:
             return
@@ -174,7 +180,7 @@
         if head_started_s is not None and now_s - head_started_s > head_timeout_s:
             self._refuse(REQUEST_TIMEOUT_STATUS, "the request's head took too long")
         elif head_started_s is None and now_s - self._idle_since_s > idle_timeout_s:
-            self._transport.close()
+            self._close()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side."""
@@ -226,8 +232,7 @@
         self.writable = True
         if self._requests and self._requests[0].owner is not None:
             self._requests[0].owner.caller_writable()
-        if self._transport is not None and self.state is not ConnectionState.LINGERING:
-            self._process_events()
+        self._read_on()
 
     def respond(self, status: int, headers: tuple[Header, ...], body: bytes) -> None:
         """Answer the first request with a complete response."""
@@ -288,29 +293,45 @@
         while self._requests and self._requests[0].answered:
             if not self._finish_first():
                 return
-        for waiting in self._order.startable(self._requests):
-            # Another one that begins and is answered at once may have begun it.
-            if waiting.waits and waiting.owner is not None:
-                waiting.waits = False
-                waiting.owner.begin()
-        if self._processing_events:
-            return
-        if self._http.trailing_data[0]:
-            self._process_events()
-        else:
-            self.update_reading()
-        self._close_if_idle()
+        self._start_waiting()
+        self._read_on()
 
     def update_reading(self) -> None:
         """Pause reading while what has been received can't be processed."""
         if self._transport is None:
             return
-        if self._held_back or self._turn_pending or self._is_full():
+        is_full = (self._requests or not self.writable) and self._is_full()
+        if is_full or self._held_back or self._turn_pending:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
         self._update_holding()
 
+    def _read_on(self) -> None:
+        """Process received bytes that had to wait."""
+        if self._processing_events or self._transport is None:
+            return
+        if self._http.trailing_data[0]:
+            self._process_events()
+        else:
+            self.update_reading()
+        self._close_if_idle()
+
+    def _start_waiting(self) -> None:
+        """Begin the calls that no longer wait for earlier ones.
+
+        One that is answered at once may let further ones begin, in the same loop.
+        """
+        if self._starting:
+            return
+        self._starting = True
+        try:
+            while waiting := self._order.startable(self._requests):
+                waiting[0].waits = False
+                waiting[0].owner.begin()
+        finally:
+            self._starting = False
+
     def _update_holding(self) -> None:
         """Tell the account what is held, and whether the client is to act now."""
         if self._holding is None or self._transport is None:
@@ -336,8 +357,6 @@
     def _is_full(self) -> bool:
         if any(request.body_paused for request in self._requests):
             return True
-        if not self._requests and self.writable:
-            return False
         if not self._receives_body():
             # Reading goes on where possible, to notice a caller that leaves.
             return len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES
@@ -369,7 +388,7 @@
             self._linger(first)
             return False
         if first.closes:
-            self._transport.close()
+            self._end()
             return False
         if first.http is self._http:
             self._http.start_next_cycle()
@@ -397,7 +416,9 @@
             self._add_request(None).refuse(status, reason)
 
     def _add_request(self, head: RequestHead | None) -> CallerRequest:
-        request = CallerRequest(self, self._http, head, bool(self._requests))
+        ahead = bool(self._requests)
+        self._sends_ahead = self._sends_ahead or ahead
+        request = CallerRequest(self, self._http, head, ahead)
         self._requests.append(request)
         return request
 
@@ -406,7 +427,7 @@
         if not self._closes_when_idle or self.state is not ConnectionState.IDLE:
             return
         if self._transport is not None and not has_unread_bytes(self._transport):
-            self._transport.close()
+            self._close()
 
     def _linger(self, last: CallerRequest) -> None:
         """Discard the unread rest of a request body before closing the connection.
@@ -414,22 +435,44 @@
         The connection closes when the body ends, or after `LINGER_TIMEOUT_S`.
         """
         if last.http.their_state is not h11.SEND_BODY:
-            self._transport.close()
+            self._end()
             return
         self.state = ConnectionState.LINGERING
         self._idle_since_s = asyncio.get_running_loop().time()
         self._transport.resume_reading()
 
+    def _end(self) -> None:
+        """Close the connection after its last answer.
+
+        If its caller sends ahead, requests may be on the way. They would reset a closed
+        socket, and the caller could lose the answer, so the caller closes first or
+        `LINGER_TIMEOUT_S` passes.
+        """
+        if not self._sends_ahead:
+            self._close()
+            return
+        self.state = ConnectionState.ENDING
+        self._idle_since_s = asyncio.get_running_loop().time()
+        # Fails if the caller has reset the connection, which is noticed next.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        self._transport.resume_reading()
+
+    def _close(self) -> None:
+        """Close the connection once all answers are passed to the kernel."""
+        self.state = ConnectionState.ENDING
+        self._transport.close()
+
     def _discard_body(self) -> None:
         discard_body(self._http)
         unread = self._http.their_state is h11.SEND_BODY
         if not unread or len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
             # The chunks of what remains are too small to be read for nothing.
-            self._transport.close()
+            self._close()
 
     def _process_next_turn(self) -> None:
         self._turn_pending = False
-        if self._transport is not None and self.state is not ConnectionState.LINGERING:
+        if self._transport is not None:
             self._process_events()
             self._close_if_idle()
 
@@ -462,15 +505,16 @@
 
     def _may_read(self) -> bool:
         """Return whether the next event may be read; prepare to read the next head."""
+        if self.state in (ConnectionState.LINGERING, ConnectionState.ENDING):
+            return False
         if self._http.their_state is h11.SEND_BODY:
             return self._receives_body()
-        if not self.writable and not self._requests:
-            # Answers that nobody takes aren't followed by others.
+        if not self.writable and not self._order.has_room(self.unsent_bytes()):
             return False
         if self._requests and not self._may_read_ahead():
             return False
         wait_s = self._pace.wait_s(asyncio.get_running_loop().time())
-        if wait_s > 0.0:
+        if wait_s > 0.0 and self._http.trailing_data[0]:
             self._turn_pending = True
             asyncio.get_running_loop().call_later(wait_s, self._process_next_turn)
             return False
@@ -512,7 +556,7 @@
             if request.owner is not None:
                 request.owner.body_ended()
         else:
-            self._transport.close()
+            self._close()
             return False
         return True
 
--- a/cicadawheel/http/caller_request.py
+++ b/cicadawheel/http/caller_request.py
@@ -120,6 +120,7 @@
         self.http = http
         self.ahead = ahead
         self.owner: CallOwner | None = None
+        self._method = b"" if head is None else head.method
         self.answered = False
         """Whether nothing more of the answer follows: it is complete, cut or lost."""
         self.body_bytes = 0
@@ -170,10 +171,7 @@
         fields = self._response_fields(headers)
         if not any(name == b"content-length" for name, _ in fields):
             fields.append((b"content-length", b"%d" % len(body)))
-        data = self._frame_head(status, fields)
-        if body:
-            data += self.http.send(h11.Data(data=body))
-        self._finish(data + self.http.send(END_OF_MESSAGE))
+        self._finish(self._frame(status, fields, body))
 
     def start_response(self, status: int, headers: tuple[Header, ...]) -> None:
         """Send the head of a response whose body is streamed."""
@@ -205,21 +203,21 @@
                 (b"content-length", b"%d" % len(body)),
                 (b"connection", b"close"),
             ]
-            data = self._frame_head(status, fields)
-            data += self.http.send(h11.Data(data=body))
-            data += self.http.send(END_OF_MESSAGE)
+            data = self._frame(status, fields, body)
         self._finish(data)
 
     def abort(self) -> None:
         """End the answer so that it is seen as incomplete."""
         if not self.answered:
-            self._close()
+            self.kept.clear()
+            self._end()
             self._connection.cut(self)
 
     def lose(self) -> None:
         """End the call without an answer."""
         owner = self.owner
-        self._close()
+        self.kept.clear()
+        self._end()
         if owner is not None:
             owner.caller_lost()
 
@@ -234,12 +232,13 @@
         kept, self.kept = self.kept, bytearray()
         return bytes(kept)
 
-    def _close(self) -> None:
+    def _end(self) -> None:
         self.owner = None
         self.answered = True
         self.body_paused = False
         self.body_held_bytes = 0
-        self.kept.clear()
+        # One that was answered while it waited doesn't hold back others any more.
+        self.waits = self.runs_once = False
 
     def _set_body_paused(self, paused: bool) -> None:
         if not self.answered:
@@ -254,6 +253,12 @@
         self._connection.count_answer(status)
         return self.http.send(h11.Response(status_code=status, headers=fields))
 
+    def _frame(self, status: int, fields: Fields, body: bytes) -> bytes:
+        data = self._frame_head(status, fields)
+        if body and self._method != b"HEAD":
+            data += self.http.send(h11.Data(data=body))
+        return data + self.http.send(END_OF_MESSAGE)
+
     def _response_fields(self, headers: tuple[Header, ...]) -> Fields:
         fields = [(header.name, header.value) for header in headers]
         unread = self.http.their_state in UNREAD_STATES
@@ -264,9 +269,6 @@
     def _finish(self, data: bytes) -> None:
         if data:
             self._send(data)
-        self.owner = None
-        self.answered = True
-        self.body_paused = False
-        self.body_held_bytes = 0
+        self._end()
         discard_body(self.http)
         self._connection.request_answered(self)
--- a/cicadawheel/metrics.py
+++ b/cicadawheel/metrics.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from cicadawheel.entry.locality import FlowReport
 from cicadawheel.ids import ServiceName
 from cicadawheel.timer import MS_PER_S
 
@@ -66,6 +67,30 @@
             ["service", "cause", "outcome"],
             registry=self.registry,
         )
+        self.repeats_by_need = Counter(
+            "cicadawheel_repeats_by_need",
+            "Repeats at this gate, by service, who needs them and outcome.",
+            ["service", "need", "outcome"],
+            registry=self.registry,
+        )
+        self.gate_refusals = Counter(
+            "cicadawheel_gate_refusals",
+            "Requests that this gate refused, by kind and reason.",
+            ["kind", "reason"],
+            registry=self.registry,
+        )
+        self.nested_calls = Counter(
+            "cicadawheel_nested_calls",
+            "Calls that the upstream of this node made while it ran a request.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.nested_spent_seconds = Counter(
+            "cicadawheel_nested_spent_seconds",
+            "Work done for the outer requests at the time of these calls.",
+            ["service"],
+            registry=self.registry,
+        )
         self.gate_limit = Gauge(
             "cicadawheel_gate_limit",
             "Requests that the gate lets its upstream have now.",
@@ -81,6 +106,17 @@
             "Requests that wait for a slot.",
             registry=self.registry,
         )
+        self.away_share = Gauge(
+            "cicadawheel_away_share",
+            "Share of recent calls sent to another data centre, by service and rank.",
+            ["service", "priority"],
+            registry=self.registry,
+        )
+        self.link_use = Gauge(
+            "cicadawheel_link_use",
+            "Fraction of the VM's link in use, 0 if its rate is unknown.",
+            registry=self.registry,
+        )
         self._calls: dict[tuple[ServiceName, Enum], Counter] = {}
         self._latencies: dict[ServiceName, Histogram] = {}
 
@@ -107,11 +143,30 @@
         """Count a repeat that this gate sent on or refused."""
         self.repeats.labels(service, cause.value, outcome).inc()
 
+    def count_repeat_need(self, service: ServiceName, need: Enum, outcome: str) -> None:
+        """Count a repeat by who needs it."""
+        self.repeats_by_need.labels(service, need.value, outcome).inc()
+
+    def count_gate_refusal(self, kind: str, reason: Enum) -> None:
+        """Count a request that this gate refused."""
+        self.gate_refusals.labels(kind, reason.value).inc()
+
+    def count_nested(self, service: ServiceName, spent_ms: float) -> None:
+        """Count a nested call and the work behind it."""
+        self.nested_calls.labels(service).inc()
+        self.nested_spent_seconds.labels(service).inc(spent_ms / MS_PER_S)
+
     def count_probe(self, size_bytes: float) -> None:
         """Count a probe and the bytes that it used."""
         self.probes.inc()
         self.probe_bytes.inc(size_bytes)
 
+    def set_flow_gauges(self, flows: list[FlowReport], link_use: float) -> None:
+        """Set the gauges of what leaves the data centre and of the link."""
+        for flow in flows:
+            self.away_share.labels(flow.service, flow.priority).set(flow.share)
+        self.link_use.set(link_use)
+
     def set_gate_gauges(self, limit: int, in_flight: int, queued: int) -> None:
         """Set the gauges of the gate."""
         self.gate_limit.set(limit)
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -14,7 +14,7 @@
 from cicadawheel.configuration import Configuration, Member
 from cicadawheel.control.lease import NodeLoad
 from cicadawheel.control.messages import ClaimAnswer, EvidenceReport, View
-from cicadawheel.entry import peers
+from cicadawheel.entry import locality, peers
 from cicadawheel.entry.entry import Entry, EntryReport
 from cicadawheel.entry.peers import PeerLinks
 from cicadawheel.entry.probing import REPORT_COST_BYTES
@@ -44,6 +44,7 @@
 from cicadawheel.metrics import NodeMetrics
 from cicadawheel.node.admin import ANNOUNCE_REPEAT_MS, make_admin_handler
 from cicadawheel.node.announcement_filter import AnnouncementFilter
+from cicadawheel.node.bandwidth import LinkWatch
 from cicadawheel.node.claims import NodeClaims
 from cicadawheel.node.link import ControlLink
 from cicadawheel.node.peer_views import PeerViews
@@ -160,19 +161,24 @@
             self.metrics,
             self.releases,
             dialect,
+            settings.node.link_mbps,
         )
         self.entry.caller_service = settings.node.service
+        LinkWatch(self.entry, self.gate, self.links, self.peer_streams).start(timers)
         self.peer_views = PeerViews(self.control, self.links, self.random, timers)
         self.announced_at_ms = 0.0
         self._announcement_filter = AnnouncementFilter()
         timers.every(MEASURE_INTERVAL_MS, self._measure)
         timers.every(HEDGE_INTERVAL_MS, self.entry.consider_hedges)
         timers.every(CHECK_INTERVAL_MS, self.holdings.check)
+        timers.every(locality.REPORT_INTERVAL_MS, self.entry.watch_flows)
         timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
         timers.every(caller.CHECK_INTERVAL_MS, self.entry.close_idle)
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
         self.gate.publisher.listeners.add(partial(self.entry.observe, self.node))
         self.gate.repeats.count = self.metrics.count_repeat
+        self.gate.repeats.count_need = self.metrics.count_repeat_need
+        self.gate.refusals.count = self.metrics.count_gate_refusal
         if settings.entry.has_retry_budget:
             self.gate.repeats.budget = RepeatBudget(
                 settings.entry.retry_share,
