--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -25,6 +25,7 @@
     read_request,
 )
 from cicadawheel.http.pieces import FIELDS_LIMIT, too_small
+from cicadawheel.http.refused_pace import RefusedPace
 from cicadawheel.http.run_order import DEFAULT_LIMITS, AheadLimits, RunOrder
 from cicadawheel.http.unread import has_unread_bytes
 from cicadawheel.logs import log_event
@@ -124,6 +125,7 @@
         self._requests: deque[CallerRequest] = deque()
         """The requests whose answers haven't been sent whole, in their order."""
         self._order = RunOrder(ahead)
+        self._pace = RefusedPace()
         self._sends_ahead = False
         self._transport: asyncio.Transport | None = None
         self._processing_events = False
@@ -272,6 +274,10 @@
         self._write(data)
         return True
 
+    def count_answer(self, status: int) -> None:
+        """Count an answer that begins; many refusals slow its connection down."""
+        self._pace.answered(status)
+
     def cut(self, request: CallerRequest) -> None:
         """End the connection in the place of an answer that isn't complete."""
         if request is self._requests[0]:
@@ -294,7 +300,8 @@
         """Pause reading while what has been received can't be processed."""
         if self._transport is None:
             return
-        if self._held_back or self._turn_pending or self._is_full():
+        is_full = (self._requests or not self.writable) and self._is_full()
+        if is_full or self._held_back or self._turn_pending:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
@@ -350,8 +357,6 @@
     def _is_full(self) -> bool:
         if any(request.body_paused for request in self._requests):
             return True
-        if not self._requests and self.writable:
-            return False
         if not self._receives_body():
             # Reading goes on where possible, to notice a caller that leaves.
             return len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES
@@ -467,7 +472,7 @@
 
     def _process_next_turn(self) -> None:
         self._turn_pending = False
-        if self._transport is not None and self.state is not ConnectionState.LINGERING:
+        if self._transport is not None:
             self._process_events()
             self._close_if_idle()
 
@@ -504,10 +509,15 @@
             return False
         if self._http.their_state is h11.SEND_BODY:
             return self._receives_body()
-        if not self.writable and not self._may_add_answers():
+        if not self.writable and not self._order.has_room(self.unsent_bytes()):
             return False
         if self._requests and not self._may_read_ahead():
             return False
+        wait_s = self._pace.wait_s(asyncio.get_running_loop().time())
+        if wait_s > 0.0 and self._http.trailing_data[0]:
+            self._turn_pending = True
+            asyncio.get_running_loop().call_later(wait_s, self._process_next_turn)
+            return False
         if self._http.their_state is not h11.DONE:
             # Nothing follows a refusal that was sent before its request was read.
             return self._http.states == {h11.CLIENT: h11.IDLE, h11.SERVER: h11.IDLE}
@@ -517,10 +527,6 @@
             self._http.receive_data(received)
         return bool(received)
 
-    def _may_add_answers(self) -> bool:
-        """Return whether requests are read although earlier answers aren't taken."""
-        return bool(self._requests) and self._order.has_room(self.unsent_bytes())
-
     def _may_read_ahead(self) -> bool:
         """Return whether another request may follow those that aren't answered.
 
@@ -557,6 +563,7 @@
     def _begin_request(self, head: RequestHead) -> None:
         self.state = ConnectionState.IN_CALL
         self._head_started_s = None
+        self._pace.read(asyncio.get_running_loop().time())
         request = self._add_request(head)
         if head.method == b"CONNECT":
             request.refuse(NOT_IMPLEMENTED_STATUS, "tunnels aren't supported")
--- a/cicadawheel/http/caller_request.py
+++ b/cicadawheel/http/caller_request.py
@@ -84,6 +84,9 @@
     def request_answered(self, request: "CallerRequest") -> None:
         """Handle the end of an answer."""
 
+    def count_answer(self, status: int) -> None:
+        """Count an answer that begins."""
+
     def cut(self, request: "CallerRequest") -> None:
         """Close the connection so that an answer is seen as incomplete."""
 
@@ -233,9 +236,9 @@
         self.owner = None
         self.answered = True
         self.body_paused = False
+        self.body_held_bytes = 0
         # One that was answered while it waited doesn't hold back others any more.
         self.waits = self.runs_once = False
-        self.body_held_bytes = 0
 
     def _set_body_paused(self, paused: bool) -> None:
         if not self.answered:
@@ -247,6 +250,7 @@
             self.kept += data
 
     def _frame_head(self, status: int, fields: Fields) -> bytes:
+        self._connection.count_answer(status)
         return self.http.send(h11.Response(status_code=status, headers=fields))
 
     def _frame(self, status: int, fields: Fields, body: bytes) -> bytes:
