Later attempts stay near too, and late calls leave only to save much

Change: each attempt is placed by the time left until its target; only first ones count as demand. If no upstream is expected to meet the target, a call leaves only if that saves half of its work.

--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -227,8 +227,8 @@
             avoided = avoided | self.entry.repeats.nodes_over_budget(self.plan.service)
         # To queue at a gate that was busy may be better than any other gate.
         avoided = avoided - self._attempts.busy
-        size_bytes = len(self._body.beginning)
-        return self.entry.pick(self.plan, avoided, self._only_at, size_bytes)
+        size_bytes, left_ms = len(self._body.beginning), self._target_left_ms()
+        return self.entry.pick(self.plan, avoided, self._only_at, size_bytes, left_ms)
 
     def _is_immediate(self, node: NodeId) -> bool:
         """Return whether a gate is asked to start the call at once or refuse it."""
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -298,15 +298,19 @@
         return answer_refusal(reason, not_run, plan.request, self.dialect, delay_ms)
 
     def pick(
-        self, plan: CallPlan, tried: set[NodeId], only_at: NodeId, body_bytes: int = 0
+        self,
+        plan: CallPlan,
+        tried: set[NodeId],
+        only_at: NodeId,
+        body_bytes: int = 0,
+        target_ms: float = 0.0,
     ) -> Pick | None:
         """Select the upstream for the next attempt, or None.
 
+        ``target_ms`` is the time left until the target, negative if it has passed.
         ``only_at``, if set, is the only node that may run the request.
         """
-        # The first attempt has all of the time; later ones go where they end soonest.
-        target_ms = 0.0 if tried else plan.target_ms
-        profile = self._profile(plan, body_bytes, target_ms)
+        profile = self._profile(plan, body_bytes, target_ms, first=not tried)
         now_ms = self.clock.now_ms()
         choice = self.versions.choose(plan.service, retry=bool(tried))
         if only_at:
@@ -424,7 +428,11 @@
         return self.router.gain_ms(pick.member, other.member, profile, done_ms)
 
     def _profile(
-        self, plan: CallPlan, body_bytes: int = 0, target_ms: float = 0.0
+        self,
+        plan: CallPlan,
+        body_bytes: int = 0,
+        target_ms: float = 0.0,
+        first: bool = True,
     ) -> CallProfile:
         reserve = self._reserves.get(plan.service)
         usable_part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
@@ -438,6 +446,7 @@
             link_use=self.link.use,
             target_ms=target_ms,
             priority=plan.priority,
+            first=first,
         )
 
     def consider_hedges(self, now_ms: float) -> None:
--- a/cicadawheel/entry/locality.py
+++ b/cicadawheel/entry/locality.py
@@ -78,9 +78,8 @@
         self._excess = 0.0
         self._at_ms: float | None = None
 
-    def stays(self, near: NearState, random: Random, now_ms: float) -> bool:
-        """Record what the near upstreams can do, and return whether a call stays."""
-        self._record(near, now_ms)
+    def stays(self, near: NearState, random: Random) -> bool:
+        """Return whether a call stays, given what the near upstreams can do for it."""
         if near is NearState.QUEUE:
             return random.random() >= self.pressure
         return near is NearState.FREE
@@ -89,7 +88,8 @@
         """Record where a call went."""
         self.share += EXCESS_WEIGHT * (float(far) - self.share)
 
-    def _record(self, near: NearState, now_ms: float) -> None:
+    def record(self, near: NearState, now_ms: float) -> None:
+        """Record what the near upstreams can do for a new call."""
         borne = near in (NearState.FREE, NearState.QUEUE)
         if not borne:
             self.why = near
--- a/cicadawheel/entry/owner.py
+++ b/cicadawheel/entry/owner.py
@@ -57,7 +57,12 @@
         """Return the header fields for the upstream, with the caller's service."""
 
     def pick(
-        self, plan: CallPlan, tried: set[NodeId], only_at: NodeId, body_bytes: int = 0
+        self,
+        plan: CallPlan,
+        tried: set[NodeId],
+        only_at: NodeId,
+        body_bytes: int = 0,
+        target_ms: float = 0.0,
     ) -> Pick | None:
         """Select the upstream for the next attempt, or None."""
 
--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -49,7 +49,7 @@
 """A share up to this may be chance, as it is measured over about ten requests."""
 
 WORK_SPREAD = 0.5
-"""One request in ten takes longer than usual by this share of its work."""
+"""One request in ten takes longer than usual by this fraction of its work."""
 
 QUEUE_PART = 0.34
 """The calls that may wait at a near upstream, as a fraction of its slots; they wait for
@@ -69,7 +69,8 @@
     ``usable_part`` is the fraction of an upstream's slots that its priority may use.
     ``answer_bytes`` is the usual size of an answer, and ``transfer_ms`` its time on an
     idle link, of which ``link_use`` is used by others; 0 if small. ``target_ms`` is the
-    time left until the target latency, 0 if there is none to plan for.
+    time left until the target latency, negative if that has passed and 0 if there is
+    none. ``first`` is set for the first attempt, which shows the demand.
     """
 
     work_ms: float = INITIAL_WORK_MS
@@ -80,6 +81,7 @@
     link_use: float = 0.0
     target_ms: float = 0.0
     priority: int = 0
+    first: bool = True
 
     @property
     def remote_cost_ms(self) -> float:
@@ -181,11 +183,12 @@
     ) -> Candidate | None:
         """Select the candidate for a call, or None if none is usable."""
         options = _options(group, usable, profile)
-        if profile.target_ms:
-            placed = self._placed(group, options, profile, now_ms)
-            if placed is not None:
-                return placed
-        return self._cheapest(options)
+        if not profile.target_ms:
+            return self._cheapest(options)
+        placed = self._placed(group, options, profile, now_ms)
+        if placed is not None:
+            return placed
+        return self._cheapest(_worth_leaving(options, profile))
 
     def _placed(
         self,
@@ -198,10 +201,13 @@
         near = [option for option in options if not option.far]
         state, bearing = _near_state(near, profile)
         flow = self.flows.flow(group.used[0].member.service, profile.priority)
+        if profile.first:
+            flow.record(state, now_ms)
         far = []
-        if not flow.stays(state, self.random, now_ms):
+        if not flow.stays(state, self.random):
             far = [one for one in options if one.far and _has_room(one, profile)]
-        flow.sent(bool(far))
+        if profile.first:
+            flow.sent(bool(far))
         if far:
             rooms = [_room(option.candidate, profile) for option in far]
             return self.random.choices(far, rooms)[0].candidate
@@ -227,6 +233,19 @@
     return options
 
 
+def _worth_leaving(options: list[Option], profile: CallProfile) -> list[Option]:
+    """Return all options, or without the far ones that save too little.
+
+    If all queues are too long for the target, as in an overload, their estimates differ
+    by chance, and a call leaves only to save half of its work.
+    """
+    if any(one.time_ms <= profile.target_ms for one in options):
+        return options
+    near_ms = min((one.cost_ms for one in options if not one.far), default=math.inf)
+    limit_ms = near_ms - WORK_SPREAD * profile.work_ms
+    return [one for one in options if not one.far or one.cost_ms <= limit_ms]
+
+
 def _near_state(
     near: list[Option], profile: CallProfile
 ) -> tuple[NearState, list[Option]]:
--- a/test/test_locality.py
+++ b/test/test_locality.py
@@ -118,6 +118,16 @@
     assert set(picks({"n0": full, "f0": full})) == {"n0"}
 
 
+@pytest.mark.parametrize(("far_queue", "expected"), [(36, "n0"), (9, "f0")])
+def test_late_call_leaves_only_for_a_much_shorter_queue(far_queue, expected):
+    loads = {
+        "n0": make_load(ROUTER_SLOTS, queued=40),
+        "f0": make_load(ROUTER_SLOTS, queued=far_queue),
+    }
+    late = CallProfile(100.0, target_ms=-1.0, first=False)
+    assert set(picks(loads, late)) == {expected}
+
+
 def test_slots_kept_for_higher_ranks_are_no_room():
     loads = {"n0": make_load(ROUTER_SLOTS - 2), "f0": make_load(0)}
     low = CallProfile(100.0, usable_part=0.5, target_ms=TARGET_MS, priority=1)
@@ -131,7 +141,8 @@
     stays = 0
     for number in range(count):
         now_ms = begin_ms + number * CALL_INTERVAL_MS
-        stays += flow.stays(state, draw, now_ms)
+        flow.record(state, now_ms)
+        stays += flow.stays(state, draw)
     return stays / count, begin_ms + count * CALL_INTERVAL_MS
 
 
@@ -156,7 +167,7 @@
     flows = Flows()
     flow = flows.flow("s", 1)
     assert not flows.changes()
-    flow.stays(NearState.FULL, Random(1), 0.0)
+    flow.record(NearState.FULL, 0.0)
     for _ in range(60):
         flow.sent(True)
     (change,) = flows.changes()
--- a/test/test_subset.py
+++ b/test/test_subset.py
@@ -154,16 +154,16 @@
 
 def test_more_distant_upstreams_are_used_while_calls_leave():
     router = make_router([make_member(number) for number in range(60)])
-    before, flow, draw = used(router), router.flows.flow("s", 0), Random(1)
+    before, flow = used(router), router.flows.flow("s", 0)
     assert not router.review_subsets()
     for number in range(100):
-        flow.stays(NearState.FULL, draw, 20.0 * number)
+        flow.record(NearState.FULL, 20.0 * number)
     assert router.review_subsets()
     assert not router.review_subsets()
     assert distant(router) == subset.FAR_LIMIT
     assert before < used(router)
     for number in range(1_000):
-        flow.stays(NearState.FREE, draw, 2_000.0 + 20.0 * number)
+        flow.record(NearState.FREE, 2_000.0 + 20.0 * number)
     assert router.review_subsets()
     assert used(router) == before
 
