A call with a target and no upstream at all is refused, not failed

Cause: the flow's service was taken from the first upstream of a group that may be empty; read in the code, shown by a test that fails before.

--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -183,7 +183,7 @@
     ) -> Candidate | None:
         """Select the candidate for a call, or None if none is usable."""
         options = _options(group, usable, profile)
-        if not profile.target_ms:
+        if not options or not profile.target_ms:
             return self._cheapest(options)
         placed = self._placed(group, options, profile, now_ms)
         if placed is not None:
--- a/test/test_locality.py
+++ b/test/test_locality.py
@@ -118,6 +118,10 @@
     assert set(picks({"n0": full, "f0": full})) == {"n0"}
 
 
+def test_call_without_any_upstream_gets_none():
+    assert make_router([]).pick("s", "", set(), 0.0, PROFILE) is None
+
+
 @pytest.mark.parametrize(("far_queue", "expected"), [(36, "n0"), (9, "f0")])
 def test_late_call_leaves_only_for_a_much_shorter_queue(far_queue, expected):
     loads = {
