Upstreams that fail or decline requests don't keep calls near

Calls stayed at a near upstream that failed a third of its requests, as its expected time met their wide target.

Change: an upstream that fails or declines more than 15 in 100 requests, the share that placing tolerates, doesn't count as room near or far.

--- a/cicadawheel/entry/candidate.py
+++ b/cicadawheel/entry/candidate.py
@@ -120,6 +120,11 @@
         """The share of recent requests that it has failed, as last reported."""
         return 0.0 if self.load is None else self.load.failure_share
 
+    @property
+    def shed_share(self) -> float:
+        """The share of recent requests that it has declined, as last reported."""
+        return 0.0 if self.load is None else self.load.shed_share
+
     @property
     def link_use(self) -> float:
         """The fraction of its VM's link that is in use, as last reported."""
--- a/cicadawheel/entry/locality.py
+++ b/cicadawheel/entry/locality.py
@@ -44,6 +44,7 @@
     QUEUE = "short queue near"
     FULL = "near upstreams full"
     SLOW = "near upstreams too slow"
+    FAILING = "near upstreams fail"
     NONE = "no near upstream"
 
 
--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -252,7 +252,10 @@
     """Return what the near upstreams can do for a call, and those that can."""
     if not near:
         return NearState.NONE, []
-    quick = [option for option in near if _is_quick(option, profile)]
+    sound = [option for option in near if _is_sound(option.candidate)]
+    if not sound:
+        return NearState.FAILING, []
+    quick = [option for option in sound if _is_quick(option, profile)]
     if not quick:
         return NearState.SLOW, []
     free = [one for one in quick if _room(one.candidate, profile) >= 1.0]
@@ -264,7 +267,16 @@
 
 def _has_room(option: Option, profile: CallProfile) -> bool:
     """Return whether a call is expected to find a slot and meet its target."""
-    return _is_quick(option, profile) and _room(option.candidate, profile) >= 1.0
+    candidate = option.candidate
+    if not _is_sound(candidate) or _room(candidate, profile) < 1.0:
+        return False
+    return _is_quick(option, profile)
+
+
+def _is_sound(candidate: Candidate) -> bool:
+    """Return whether an upstream runs about all requests, and to a good end."""
+    lost_share = max(candidate.failure_share, candidate.shed_share)
+    return lost_share <= TOLERATED_FAILURE_SHARE
 
 
 def _is_quick(option: Option, profile: CallProfile) -> bool:
--- a/test/test_locality.py
+++ b/test/test_locality.py
@@ -10,6 +10,7 @@
 
 import pytest
 from locality_fleet import UPSTREAMS, LocalityFleet
+from msgspec.structs import replace
 from news_fleet import SLOTS, WORK_MS
 from spells import SLOW_SHARE, SLOWNESS
 from test_placement import SLOTS as ROUTER_SLOTS
@@ -118,6 +119,15 @@
     assert set(picks({"n0": full, "f0": full})) == {"n0"}
 
 
+@pytest.mark.parametrize("trouble", ["failure_share", "shed_share"])
+def test_call_leaves_upstreams_that_fail_or_decline_requests(trouble):
+    near = make_load(0)
+    loads = {"n0": replace(near, **{trouble: 0.4}), "f0": make_load(1)}
+    assert set(picks(loads)) == {"f0"}
+    loads["n1"] = make_load(1)
+    assert set(picks(loads)) == {"n1"}
+
+
 def test_call_without_any_upstream_gets_none():
     assert make_router([]).pick("s", "", set(), 0.0, PROFILE) is None
 
