Calls with wide targets leave VMs that may stay slow

A wide target let calls stay at a near VM that is seven times slower, as it is expected to recover within half a second; one that doesn't takes longer than the time-out.

Change: an upstream counts as in time only if it is so at its slowness now, without a recovery.

--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -280,8 +280,10 @@
 
 
 def _is_quick(option: Option, profile: CallProfile) -> bool:
+    """Return whether a call meets its target, also if a slow VM doesn't recover."""
+    slow_ms = profile.work_ms * option.candidate.slowness
     spread_ms = WORK_SPREAD * profile.work_ms
-    return option.time_ms + spread_ms <= profile.target_ms
+    return max(option.time_ms, slow_ms) + spread_ms <= profile.target_ms
 
 
 def _room(candidate: Candidate, profile: CallProfile) -> float:
--- a/test/test_locality.py
+++ b/test/test_locality.py
@@ -128,6 +128,14 @@
     assert set(picks(loads)) == {"n1"}
 
 
+def test_wide_target_does_not_bet_on_the_recovery_of_a_slow_vm():
+    loads = {"n0": make_load(0, SLOWNESS), "f0": make_load(1)}
+    wide = CallProfile(100.0, target_ms=5.0 * 100.0 + 100.0)
+    assert set(picks(loads, wide)) == {"f0"}
+    wider = CallProfile(100.0, target_ms=(SLOWNESS + 1.0) * 100.0)
+    assert set(picks(loads, wider)) == {"n0"}
+
+
 def test_call_without_any_upstream_gets_none():
     assert make_router([]).pick("s", "", set(), 0.0, PROFILE) is None
 
