Tight targets don't send calls away from free slots near

Where the target leaves less than half of the work to spare even on an idle VM, no upstream counted as having room, and the load alone decided.

Change: if no upstream elsewhere has room with that to spare, a near one with a free slot is taken that is expected to be just in time.

--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -211,7 +211,10 @@
         if far:
             rooms = [_room(option.candidate, profile) for option in far]
             return self.random.choices(far, rooms)[0].candidate
-        return self._cheapest(bearing)
+        # Where the target leaves little to spare anywhere, a free slot near is as good.
+        return self._cheapest(
+            bearing or [one for one in near if _has_room(one, profile, 0.0)]
+        )
 
     def _cheapest(self, options: list[Option]) -> Candidate | None:
         """Select one of those whose cost is about the lowest."""
@@ -265,12 +268,14 @@
     return (NearState.QUEUE if queues else NearState.FULL), queues
 
 
-def _has_room(option: Option, profile: CallProfile) -> bool:
+def _has_room(
+    option: Option, profile: CallProfile, spread: float = WORK_SPREAD
+) -> bool:
     """Return whether a call is expected to find a slot and meet its target."""
     candidate = option.candidate
     if not _is_sound(candidate) or _room(candidate, profile) < 1.0:
         return False
-    return _is_quick(option, profile)
+    return _is_quick(option, profile, spread)
 
 
 def _is_sound(candidate: Candidate) -> bool:
@@ -279,11 +284,13 @@
     return lost_share <= TOLERATED_FAILURE_SHARE
 
 
-def _is_quick(option: Option, profile: CallProfile) -> bool:
+def _is_quick(
+    option: Option, profile: CallProfile, spread: float = WORK_SPREAD
+) -> bool:
     """Return whether a call meets its target, also if a slow VM doesn't recover."""
     slow_ms = profile.work_ms * option.candidate.slowness
-    spread_ms = WORK_SPREAD * profile.work_ms
-    return max(option.time_ms, slow_ms) + spread_ms <= profile.target_ms
+    in_time_ms = profile.target_ms - spread * profile.work_ms
+    return max(option.time_ms, slow_ms) <= in_time_ms
 
 
 def _room(candidate: Candidate, profile: CallProfile) -> float:
--- a/test/test_locality.py
+++ b/test/test_locality.py
@@ -128,6 +128,14 @@
     assert set(picks(loads)) == {"n1"}
 
 
+def test_target_with_little_to_spare_leaves_for_more_room_only_if_that_is_enough():
+    loads = {"n0": make_load(ROUTER_SLOTS - 1), "f0": make_load(0)}
+    free_far = CallProfile(100.0, target_ms=168.0)
+    assert set(picks(loads, free_far)) == {"f0"}
+    tight = CallProfile(100.0, target_ms=148.0)
+    assert set(picks(loads, tight)) == {"n0"}
+
+
 def test_wide_target_does_not_bet_on_the_recovery_of_a_slow_vm():
     loads = {"n0": make_load(0, SLOWNESS), "f0": make_load(1)}
     wide = CallProfile(100.0, target_ms=5.0 * 100.0 + 100.0)
