--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -266,7 +266,7 @@
             depth=self.plan.depth,
             repeatable=self.plan.repeatable,
             fingerprint=self._fingerprint,
-            target_ms=self._target_left_ms(),
+            target_ms=self._next.target_left_ms(),
             priority=self.plan.priority,
             work_ms=self.entry.work_times.usual_ms(self.plan.route),
             repeat=self._next.repeat_kind(),
@@ -274,12 +274,6 @@
             spent_ms=self.plan.spent_ms,
         )
 
-    def _target_left_ms(self) -> float:
-        if not self.plan.target_ms:
-            return 0.0
-        passed_ms = self.entry.clock.now_ms() - self.started_at_ms
-        return (self.plan.target_ms - passed_ms) or -1.0
-
     def _receive(self, attempt: Attempt, message: ReplyMessage) -> None:
         if isinstance(message, ReplyHead):
             self._handle_head(attempt, message)
--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -49,7 +49,7 @@
 """A share up to this may be chance, as it is measured over about ten requests."""
 
 WORK_SPREAD = 0.5
-"""One request in ten takes longer than usual by this share of its work."""
+"""One request in ten takes longer than usual by this fraction of its work."""
 
 QUEUE_PART = 0.34
 """The calls that may wait at a near upstream, as a fraction of its slots; they wait for
@@ -59,10 +59,6 @@
 """The cost of a failure in work times. At an upstream that fails half of its requests
 it is that of a short queue: such an upstream is better than a refusal."""
 
-SLOW_FACTOR = 2.0
-"""A VM that is this much slower than usual has no room for calls that can go elsewhere:
-its slow period may last for longer than the time that a call has left."""
-
 TIE_FACTOR = 1.05
 """Costs within this factor count as equal, so that entries don't herd."""
 
@@ -73,7 +69,8 @@
     ``usable_part`` is the fraction of an upstream's slots that its priority may use.
     ``answer_bytes`` is the usual size of an answer, and ``transfer_ms`` its time on an
     idle link, of which ``link_use`` is used by others; 0 if small. ``target_ms`` is the
-    time left until the target latency, 0 if there is none to plan for.
+    time left until the target latency, negative if that has passed and 0 if there is
+    none. ``first`` is set for the first attempt, which shows the demand.
     """
 
     work_ms: float = INITIAL_WORK_MS
@@ -84,6 +81,7 @@
     link_use: float = 0.0
     target_ms: float = 0.0
     priority: int = 0
+    first: bool = True
 
     @property
     def remote_cost_ms(self) -> float:
@@ -185,11 +183,12 @@
     ) -> Candidate | None:
         """Select the candidate for a call, or None if none is usable."""
         options = _options(group, usable, profile)
-        if profile.target_ms:
-            placed = self._placed(group, options, profile, now_ms)
-            if placed is not None:
-                return placed
-        return self._cheapest(options)
+        if not options or not profile.target_ms:
+            return self._cheapest(options)
+        placed = self._placed(group, options, profile, now_ms)
+        if placed is not None:
+            return placed
+        return self._cheapest(_worth_leaving(options, profile))
 
     def _placed(
         self,
@@ -202,14 +201,20 @@
         near = [option for option in options if not option.far]
         state, bearing = _near_state(near, profile)
         flow = self.flows.flow(group.used[0].member.service, profile.priority)
+        if profile.first:
+            flow.record(state, now_ms)
         far = []
-        if not flow.stays(state, self.random, now_ms):
+        if not flow.stays(state, self.random):
             far = [one for one in options if one.far and _has_room(one, profile)]
-        flow.sent(bool(far))
+        if profile.first:
+            flow.sent(bool(far))
         if far:
             rooms = [_room(option.candidate, profile) for option in far]
             return self.random.choices(far, rooms)[0].candidate
-        return self._cheapest(bearing)
+        # Where the target leaves little to spare anywhere, a free slot near is as good.
+        return self._cheapest(
+            bearing or [one for one in near if _has_room(one, profile, 0.0)]
+        )
 
     def _cheapest(self, options: list[Option]) -> Candidate | None:
         """Select one of those whose cost is about the lowest."""
@@ -231,13 +236,29 @@
     return options
 
 
+def _worth_leaving(options: list[Option], profile: CallProfile) -> list[Option]:
+    """Return all options, or without the far ones that save too little.
+
+    If all queues are too long for the target, as in an overload, their estimates differ
+    by chance, and a call leaves only to save half of its work.
+    """
+    if any(one.time_ms <= profile.target_ms for one in options):
+        return options
+    near_ms = min((one.cost_ms for one in options if not one.far), default=math.inf)
+    limit_ms = near_ms - WORK_SPREAD * profile.work_ms
+    return [one for one in options if not one.far or one.cost_ms <= limit_ms]
+
+
 def _near_state(
     near: list[Option], profile: CallProfile
 ) -> tuple[NearState, list[Option]]:
     """Return what the near upstreams can do for a call, and those that can."""
     if not near:
         return NearState.NONE, []
-    quick = [option for option in near if _is_quick(option, profile)]
+    sound = [option for option in near if _is_sound(option.candidate)]
+    if not sound:
+        return NearState.FAILING, []
+    quick = [option for option in sound if _is_quick(option, profile)]
     if not quick:
         return NearState.SLOW, []
     free = [one for one in quick if _room(one.candidate, profile) >= 1.0]
@@ -247,15 +268,29 @@
     return (NearState.QUEUE if queues else NearState.FULL), queues
 
 
-def _has_room(option: Option, profile: CallProfile) -> bool:
+def _has_room(
+    option: Option, profile: CallProfile, spread: float = WORK_SPREAD
+) -> bool:
     """Return whether a call is expected to find a slot and meet its target."""
-    return _is_quick(option, profile) and _room(option.candidate, profile) >= 1.0
+    candidate = option.candidate
+    if not _is_sound(candidate) or _room(candidate, profile) < 1.0:
+        return False
+    return _is_quick(option, profile, spread)
+
+
+def _is_sound(candidate: Candidate) -> bool:
+    """Return whether an upstream runs about all requests, and to a good end."""
+    lost_share = max(candidate.failure_share, candidate.shed_share)
+    return lost_share <= TOLERATED_FAILURE_SHARE
 
 
-def _is_quick(option: Option, profile: CallProfile) -> bool:
-    spread_ms = WORK_SPREAD * profile.work_ms
-    slow = option.candidate.slowness >= SLOW_FACTOR
-    return not slow and option.time_ms + spread_ms <= profile.target_ms
+def _is_quick(
+    option: Option, profile: CallProfile, spread: float = WORK_SPREAD
+) -> bool:
+    """Return whether a call meets its target, also if a slow VM doesn't recover."""
+    slow_ms = profile.work_ms * option.candidate.slowness
+    in_time_ms = profile.target_ms - spread * profile.work_ms
+    return max(option.time_ms, slow_ms) <= in_time_ms
 
 
 def _room(candidate: Candidate, profile: CallProfile) -> float:
--- a/test/test_locality.py
+++ b/test/test_locality.py
@@ -10,6 +10,7 @@
 
 import pytest
 from locality_fleet import UPSTREAMS, LocalityFleet
+from msgspec.structs import replace
 from news_fleet import SLOTS, WORK_MS
 from spells import SLOW_SHARE, SLOWNESS
 from test_placement import SLOTS as ROUTER_SLOTS
@@ -118,6 +119,45 @@
     assert set(picks({"n0": full, "f0": full})) == {"n0"}
 
 
+@pytest.mark.parametrize("trouble", ["failure_share", "shed_share"])
+def test_call_leaves_upstreams_that_fail_or_decline_requests(trouble):
+    near = make_load(0)
+    loads = {"n0": replace(near, **{trouble: 0.4}), "f0": make_load(1)}
+    assert set(picks(loads)) == {"f0"}
+    loads["n1"] = make_load(1)
+    assert set(picks(loads)) == {"n1"}
+
+
+def test_target_with_little_to_spare_leaves_for_more_room_only_if_that_is_enough():
+    loads = {"n0": make_load(ROUTER_SLOTS - 1), "f0": make_load(0)}
+    free_far = CallProfile(100.0, target_ms=168.0)
+    assert set(picks(loads, free_far)) == {"f0"}
+    tight = CallProfile(100.0, target_ms=148.0)
+    assert set(picks(loads, tight)) == {"n0"}
+
+
+def test_wide_target_does_not_bet_on_the_recovery_of_a_slow_vm():
+    loads = {"n0": make_load(0, SLOWNESS), "f0": make_load(1)}
+    wide = CallProfile(100.0, target_ms=5.0 * 100.0 + 100.0)
+    assert set(picks(loads, wide)) == {"f0"}
+    wider = CallProfile(100.0, target_ms=(SLOWNESS + 1.0) * 100.0)
+    assert set(picks(loads, wider)) == {"n0"}
+
+
+def test_call_without_any_upstream_gets_none():
+    assert make_router([]).pick("s", "", set(), 0.0, PROFILE) is None
+
+
+@pytest.mark.parametrize(("far_queue", "expected"), [(36, "n0"), (9, "f0")])
+def test_late_call_leaves_only_for_a_much_shorter_queue(far_queue, expected):
+    loads = {
+        "n0": make_load(ROUTER_SLOTS, queued=40),
+        "f0": make_load(ROUTER_SLOTS, queued=far_queue),
+    }
+    late = CallProfile(100.0, target_ms=-1.0, first=False)
+    assert set(picks(loads, late)) == {expected}
+
+
 def test_slots_kept_for_higher_ranks_are_no_room():
     loads = {"n0": make_load(ROUTER_SLOTS - 2), "f0": make_load(0)}
     low = CallProfile(100.0, usable_part=0.5, target_ms=TARGET_MS, priority=1)
@@ -131,7 +171,8 @@
     stays = 0
     for number in range(count):
         now_ms = begin_ms + number * CALL_INTERVAL_MS
-        stays += flow.stays(state, draw, now_ms)
+        flow.record(state, now_ms)
+        stays += flow.stays(state, draw)
     return stays / count, begin_ms + count * CALL_INTERVAL_MS
 
 
@@ -156,7 +197,7 @@
     flows = Flows()
     flow = flows.flow("s", 1)
     assert not flows.changes()
-    flow.stays(NearState.FULL, Random(1), 0.0)
+    flow.record(NearState.FULL, 0.0)
     for _ in range(60):
         flow.sent(True)
     (change,) = flows.changes()
