Late nested calls wait behind requests that can meet their target

Change: at equal priority nested calls go first among those that can meet their target, and the late ones behind them, still unrefused. Parts of the budget for callers 0.95 (failed) and 0.9 (refused), for nested calls with little work 0.95.

--- a/cicadawheel/gate/repeat_need.py
+++ b/cicadawheel/gate/repeat_need.py
@@ -21,15 +21,15 @@
 SHARED_HEDGE_PART = 0.25
 """The part for hedges while nested calls need repeats: nothing is lost without them."""
 
-REFUSED_PART = 0.75
+REFUSED_PART = 0.9
 """The part for callers' requests that weren't run: their callers are told when to come
 back."""
 
-FAILED_PART = 0.85
+FAILED_PART = 0.95
 """The part for callers' requests that may have run: their callers get an error, and
 only some send them again."""
 
-LITTLE_SPENT_PART = 0.9
+LITTLE_SPENT_PART = 0.95
 """The part for nested calls whose outer requests have less work behind them than usual:
 these have further calls to make, each of which may fail."""
 
--- a/cicadawheel/gate/reported_admission.py
+++ b/cicadawheel/gate/reported_admission.py
@@ -53,7 +53,7 @@
 
 
 KindsAtShare = frozenset[RankedKind]
-QueueRank = tuple[float, bool, bool, float]
+QueueRank = tuple[int, bool, bool, bool, float]
 
 
 class _Admitted(msgspec.Struct):
@@ -64,6 +64,7 @@
 
 class _QueuedRequest(msgspec.Struct):
     ticket: int
+    priority: int
     deadline_at_ms: float
     target_at_ms: float
     work_ms: float
@@ -72,15 +73,17 @@
     spent_ms: float
     kind: RankedKind
 
-    def rank(self, starts_ms: float, at_share: KindsAtShare) -> QueueRank:
+    def rank(self, starts_ms: float, kinds_at_share: KindsAtShare) -> QueueRank:
         """Return the sort key in the queue.
 
-        Requests are ordered by priority, nested calls before others, then those that
-        can still meet their target, then the kinds that hold less than their share of
+        Requests are ordered by priority, then those that can still meet their target,
+        nested calls before others, then the kinds that hold less than their share of
         the slots, then by target. ``starts_ms`` is the assumed start of the work.
         """
         late = starts_ms + self.work_ms > self.target_at_ms
-        return (self.kind.rank, late, self.kind in at_share, self.target_at_ms)
+        is_callers = not self.spent_ms
+        at_share = self.kind in kinds_at_share
+        return (self.priority, late, is_callers, at_share, self.target_at_ms)
 
 
 class ReportedAdmission:
@@ -182,6 +185,7 @@
             return Decision(ticket, Verdict.REFUSE, self.closed_reason)
         waiting = _QueuedRequest(
             ticket,
+            hints.priority,
             deadline_at_ms,
             hints.target_at_ms or deadline_at_ms,
             hints.work_ms or self.work_ms,
@@ -234,17 +238,20 @@
     def tick(self, now_ms: float) -> list[Decision]:
         """Refuse and admit queued requests, and return the decisions."""
         decisions = self._refuse_unanswerable(now_ms)
-        while self._queue:
-            at_share = self._kinds_at_share(now_ms)
-            request = min(self._queue, key=lambda one: one.rank(now_ms, at_share))
-            # The rest of the queue may use no more slots than this request.
-            if not self._has_room(request, now_ms):
-                break
+        while request := self._next(now_ms):
             self._queue.remove(request)
             self._admit(request, now_ms)
             decisions.append(Decision(request.ticket, Verdict.ADMIT))
         return decisions
 
+    def _next(self, now_ms: float) -> _QueuedRequest | None:
+        """Return the first queued request that may be admitted."""
+        if not self._queue or len(self._admitted) >= max(1, self.slots):
+            return None
+        at_share = self._kinds_at_share(now_ms)
+        ranked = sorted(self._queue, key=lambda one: one.rank(now_ms, at_share))
+        return next((one for one in ranked if self._has_room(one, now_ms)), None)
+
     def needs_ticks(self) -> bool:
         """Return whether requests are queued, which only time may release."""
         return bool(self._queue)
