A call is nested only with its run's id and a suffix

Cause, found in review: an empty id, which a caller may send, was that of a run, and any id without a suffix then seemed to be made by it; so did a second request with the id of one in progress. Either would have got the other request's priority and time.

Change: the id must have a suffix, and an empty one names no run.

--- a/cicadawheel/gate/runs.py
+++ b/cicadawheel/gate/runs.py
@@ -59,7 +59,7 @@
 class Runs:
     """The requests in progress at one upstream.
 
-    A call has the id of its run, or that id with a suffix.
+    A call has the id of its run with a suffix.
     """
 
     def __init__(self):
@@ -95,7 +95,7 @@
     def outer(self, request: RequestId) -> Run | None:
         """Return the run that makes a call, or None if the call isn't nested."""
         run = request.rpartition(RUN_ID_SEPARATOR)[0]
-        return self._by_request.get(request) or self._by_request.get(run)
+        return self._by_request.get(run) if run else None
 
     def call_refused(self, request: RequestId, now_ms: float) -> None:
         """Record that a call was refused because the retry budget is spent."""
--- a/test/test_competing_kinds.py
+++ b/test/test_competing_kinds.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+from site_in_loop import call
 
 from cicadawheel.entry.nested import TARGET_MISSED_MS, plan_nested
 from cicadawheel.entry.plan import CallPlan
@@ -160,7 +161,8 @@
     outer = CallOpen(0, "4f", *fields, target_ms=300.0, priority=1, work_ms=120.0)
     runs = Runs()
     runs.add(7, outer, 1_000.0, 50.0)
-    assert runs.outer("5e.1") is None
+    runs.add(6, msgspec.structs.replace(outer, request=""), 1_000.0, 50.0)
+    assert [runs.outer(request) for request in ("5e.1", "4f", "5e")] == [None] * 3
     plan = plan_nested(make_plan("4f.1"), runs.outer("4f.1"), 230.0)
     assert (plan.priority, plan.target_ms, plan.deadline_ms) == (1, 70.0, 453.0)
     assert plan.spent_ms == 120.0
@@ -180,3 +182,29 @@
         refusals.add(f"GET {number}", RefusalReason.BUSY)
     assert len(counted) == KIND_LIMIT + 1
     assert counted[OTHER_KIND] == KIND_LIMIT
+
+
+def test_call_of_a_run_reaches_its_gate_as_a_nested_call(on_site):
+    async def work(site):
+        node, opened = site.nodes[0], []
+        fields = ("shop", "", "GET", "/", (), b"", False, 5_000.0, 0, True, "f")
+        now_ms = node.clock.now_ms()
+        runs = node.gate.repeats.runs
+        runs.add(-1, CallOpen(0, "run", *fields), now_ms + 5_000.0, now_ms - 50.0)
+        for one in site.nodes:
+            one.gate.open = record(one.gate.open, opened)
+        for request in ("run.1", "other"):
+            answer = await call(node, "GET", "/list", x_request_id=request)
+            assert answer.status == 200
+        nested, other = opened
+        assert nested.spent_ms >= 50.0
+        assert other.spent_ms == 0.0
+
+    def record(gate_open, opened):
+        def open_call(call, sink):
+            opened.append(call)
+            return gate_open(call, sink)
+
+        return open_call
+
+    on_site(work)
