--- a/test/test_competing_kinds.py
+++ b/test/test_competing_kinds.py
@@ -1,13 +1,12 @@
 """Kinds of requests that compete for the slots of one upstream."""
 
-import heapq
-import itertools
 from collections import Counter
 from random import Random
 
 import msgspec
 import pytest
 from site_in_loop import call
+from timeline import Timeline
 
 from cicadawheel.entry.nested import TARGET_MISSED_MS, plan_nested
 from cicadawheel.entry.plan import CallPlan
@@ -19,7 +18,7 @@
 from cicadawheel.messages import CallOpen, RefusalReason
 
 SLOTS = 3
-SECONDS = 20.0
+ENDS_MS = 20_000.0
 TICK_INTERVAL_MS = 5.0
 SEEDS = range(6)
 
@@ -43,63 +42,55 @@
 CHECK = Kind("check", 24.0, 30.0, 136.0, 453.0, spent_ms=60.0)
 
 
-def play(kinds, seed):
-    """Play the kinds at one upstream; return how many of each ended in each way."""
-    draw = Random(seed)
-    admission = ReportedAdmission()
-    admission.upstream_started("b", SLOTS, 0.0)
-    tickets = itertools.count()
-    ends = {kind.name: Counter() for kind in kinds}
-    calls, events = {}, [(0.0, next(tickets), None, None)]
-
-    def apply(decisions, now_ms):
+class Upstream(Timeline):
+    """One upstream and its gate; ``ends`` counts how requests of each kind ended."""
+
+    def __init__(self, kinds, seed):
+        super().__init__()
+        self.draw = Random(seed)
+        self.admission = ReportedAdmission()
+        self.admission.upstream_started("b", SLOTS, 0.0)
+        self.ends = {kind.name: Counter() for kind in kinds}
+        self.calls = {}
+        for kind in kinds:
+            rate_per_s = kind.calls_per_s
+            self.add_arrivals(self.draw, rate_per_s, ENDS_MS, self.arrive, kind)
+        self.tick()
+        self.run(ENDS_MS)
+
+    def tick(self):
+        self.apply(self.admission.tick(self.time_ms))
+        self.after(TICK_INTERVAL_MS, self.tick)
+
+    def arrive(self, kind):
+        ticket, now_ms = next(self.numbers), self.time_ms
+        self.calls[ticket] = (kind, now_ms)
+        fields = (kind.priority, kind.work_ms, False, kind.spent_ms)
+        hints = SchedulingHints(now_ms + kind.target_ms, *fields)
+        until_ms = now_ms + kind.deadline_ms
+        offer = self.admission.offer
+        self.apply([offer(ticket, until_ms, now_ms, kind.name, hints=hints)])
+
+    def apply(self, decisions):
         for decision in decisions:
-            kind, started_ms = calls[decision.ticket]
+            kind, _ = self.calls[decision.ticket]
             if decision.verdict is Verdict.ADMIT:
-                took_ms = kind.work_ms * draw.lognormvariate(0.0, 0.3)
-                event = (now_ms + took_ms, decision.ticket, kind, started_ms)
-                heapq.heappush(events, event)
+                took_ms = kind.work_ms * self.draw.lognormvariate(0.0, 0.3)
+                self.after(took_ms, self.finish, decision.ticket)
             elif decision.verdict is Verdict.REFUSE:
-                ends[kind.name]["refused"] += 1
-
-    for kind in kinds:
-        at_ms = 0.0
-        while (
-            at_ms := at_ms + draw.expovariate(kind.calls_per_s) * 1e3
-        ) < SECONDS * 1e3:
-            heapq.heappush(events, (at_ms, next(tickets), kind, None))
-    while events[0][0] < SECONDS * 1e3:
-        now_ms, ticket, kind, started_ms = heapq.heappop(events)
-        if kind is None:
-            heapq.heappush(events, (now_ms + TICK_INTERVAL_MS, ticket, None, None))
-            apply(admission.tick(now_ms), now_ms)
-        elif started_ms is None:
-            calls[ticket] = (kind, now_ms)
-            hints = SchedulingHints(
-                now_ms + kind.target_ms,
-                kind.priority,
-                kind.work_ms,
-                spent_ms=kind.spent_ms,
-            )
-            deadline_at_ms = now_ms + kind.deadline_ms
-            offered = admission.offer(
-                ticket, deadline_at_ms, now_ms, kind.name, hints=hints
-            )
-            apply([offered], now_ms)
-        else:
-            in_time = now_ms <= started_ms + kind.target_ms
-            ends[kind.name]["in time" if in_time else "late"] += 1
-            apply(admission.finish(ticket, Result.ANSWERED, now_ms), now_ms)
-    return ends
+                self.ends[kind.name]["refused"] += 1
+
+    def finish(self, ticket):
+        kind, started_ms = self.calls[ticket]
+        in_time = self.time_ms <= started_ms + kind.target_ms
+        self.ends[kind.name]["in time" if in_time else "late"] += 1
+        self.apply(self.admission.finish(ticket, Result.ANSWERED, self.time_ms))
 
 
 def play_all(*kinds):
     """Return how many of each kind ended in each way, over all seeds."""
-    total = {kind.name: Counter() for kind in kinds}
-    for seed in SEEDS:
-        for name, ends in play(kinds, seed).items():
-            total[name] += ends
-    return total
+    played = [Upstream(kinds, seed).ends for seed in SEEDS]
+    return {k.name: sum((ends[k.name] for ends in played), Counter()) for k in kinds}
 
 
 def share(ends, end):
@@ -192,7 +183,7 @@
         runs = node.gate.repeats.runs
         runs.add(-1, CallOpen(0, "run", *fields), now_ms + 5_000.0, now_ms - 50.0)
         for one in site.nodes:
-            one.gate.open = record(one.gate.open, opened)
+            record(one.gate, opened)
         for request in ("run.1", "other"):
             answer = await call(node, "GET", "/list", x_request_id=request)
             assert answer.status == 200
@@ -200,11 +191,8 @@
         assert nested.spent_ms >= 50.0
         assert other.spent_ms == 0.0
 
-    def record(gate_open, opened):
-        def open_call(call, sink):
-            opened.append(call)
-            return gate_open(call, sink)
-
-        return open_call
+    def record(gate, opened):
+        gate_open = gate.open
+        gate.open = lambda call, sink: (opened.append(call), gate_open(call, sink))[1]
 
     on_site(work)
