--- a/test/test_repeat_needs.py
+++ b/test/test_repeat_needs.py
@@ -24,12 +24,8 @@
 CALLING_SHARE, STEP_MS = 0.7, 45.0
 ATTEMPTS, RETRY_MS, COMEBACK_MS = 3, 3.0, 300.0
 REFUSING_MS, ENDS_MS = (10_000.0, 18_000.0), 20_000.0
-FIRST, WITHIN, REFUSED, FAILED = (
-    Repeat.FIRST,
-    Repeat.WITHIN,
-    Repeat.REFUSED,
-    Repeat.FAILED,
-)
+FIRST, WITHIN = Repeat.FIRST, Repeat.WITHIN
+REFUSED, FAILED = Repeat.REFUSED, Repeat.FAILED
 
 
 def make_call(spent_ms, repeat=REFUSED, request="r"):
@@ -76,11 +72,7 @@
             self.ends["served" if served else "lost after running"] += 1
             if not served and repeat is FIRST:
                 self.outer(comes_back, FAILED, calls)
-            elif not served:
-                give_up()
-
-        def give_up():
-            if comes_back:
+            elif not served and comes_back:
                 self.after(COMEBACK_MS, self.outer, False, FIRST, calls)
 
         def refused():
@@ -93,7 +85,8 @@
             self.after(STEP_MS, self.send, spent_ms, answered, refused, first)
 
         if gate is None:
-            give_up()
+            if comes_back:
+                self.after(COMEBACK_MS, self.outer, False, FIRST, calls)
             return
         gate.sent(ticket, call, self.time_ms + 1_500.0)
         if calls:
