A queued request that must run alone keeps its place

Cause, found in review: since late nested calls may use reserved slots out of turn, the queue was searched for any request with room, so that later ones overtook a suspect that waits for the upstream to be empty, for ever under load. Also, a hedge of a nested call counted as a repeat that it needs, and limited callers' repeats.

--- a/cicadawheel/gate/repeat_need.py
+++ b/cicadawheel/gate/repeat_need.py
@@ -71,7 +71,7 @@
         """Record a request, before its part is asked for."""
         if not call.spent_ms:
             return
-        if call.repeat is not Repeat.FIRST:
+        if call.repeat not in (Repeat.FIRST, Repeat.SPARE):
             self._nested_until_ms[call.priority] = now_ms + NESTED_ASK_MS
         gap_ms = call.spent_ms - self._usual_spent_ms
         self._usual_spent_ms += SPENT_SAMPLE_WEIGHT * gap_ms
--- a/cicadawheel/gate/reported_admission.py
+++ b/cicadawheel/gate/reported_admission.py
@@ -245,12 +245,18 @@
         return decisions
 
     def _next(self, now_ms: float) -> _QueuedRequest | None:
-        """Return the first queued request that may be admitted."""
+        """Return the queued request to admit now, or None.
+
+        Reserved slots go to later ones that may use them. One that must wait for
+        anything else keeps its place.
+        """
         if not self._queue or len(self._admitted) >= max(1, self.slots):
             return None
         at_share = self._kinds_at_share(now_ms)
-        ranked = sorted(self._queue, key=lambda one: one.rank(now_ms, at_share))
-        return next((one for one in ranked if self._has_room(one, now_ms)), None)
+        for request in sorted(self._queue, key=lambda one: one.rank(now_ms, at_share)):
+            if self._has_slot(request):
+                return request if self._has_room(request, now_ms) else None
+        return None
 
     def needs_ticks(self) -> bool:
         """Return whether requests are queued, which only time may release."""
@@ -385,9 +391,12 @@
         usable = self.cold_calls_per_s * self.work_ms / COLD_WINDOW_MS
         return min(1.0, max(usable, 1.0) / self.slots)
 
-    def _has_room(self, waiting: _QueuedRequest, now_ms: float) -> bool:
+    def _has_slot(self, waiting: _QueuedRequest) -> bool:
         usable = self._reserve.usable(waiting.kind.rank, max(1, self.slots))
-        if len(self._admitted) >= usable:
+        return len(self._admitted) < usable
+
+    def _has_room(self, waiting: _QueuedRequest, now_ms: float) -> bool:
+        if not self._has_slot(waiting):
             return False
         if self._is_cold(now_ms) and not self._cold_rate_allows(now_ms):
             return False
--- a/test/test_competing_kinds.py
+++ b/test/test_competing_kinds.py
@@ -120,6 +120,16 @@
     assert answered(ends) >= answered(before)
 
 
+def test_request_that_must_run_alone_keeps_its_place():
+    admission = ReportedAdmission()
+    admission.upstream_started("b", SLOTS, 0.0)
+    admission.offer(1, 9_000.0, 0.0)
+    assert admission.offer(2, 9_000.0, 0.0, alone=True).verdict is Verdict.WAIT
+    assert admission.offer(3, 9_001.0, 0.0).verdict is Verdict.WAIT
+    assert admission.tick(5.0) == []
+    assert [one.ticket for one in admission.finish(1, Result.ANSWERED, 9.0)] == [2]
+
+
 @pytest.mark.parametrize(
     ("asked_slots", "slots", "share"),
     [([7, 1], 3, 2.0), ([6, 2], 3, 1.5), ([1, 1], 3, 1.0), ([9, 4, 1], 9, 4.0)],
--- a/test/test_repeat_needs.py
+++ b/test/test_repeat_needs.py
@@ -158,6 +158,7 @@
 def test_parts_are_kept_only_while_nested_calls_need_repeats():
     needs = RepeatNeeds()
     needs.received(make_call(90.0, FIRST), 0.0)
+    needs.received(make_call(90.0, Repeat.SPARE), 0.0)
     refused, urgent = make_call(0.0), replace(make_call(0.0), priority=0)
     assert needs.part(refused, 0.0) == 1.0
     needs.received(make_call(90.0), 0.0)
