Merge: nested calls keep the priority of their outer request, and nothing before it

Cause: slots and turns that nested calls got before callers of the same priority were taken from those.

--- a/cicadawheel/entry/door.py
+++ b/cicadawheel/entry/door.py
@@ -24,7 +24,6 @@
 )
 from cicadawheel.entry.router import Router
 from cicadawheel.entry.tries import covers_tries, mean_shed_share
-from cicadawheel.gate.fair_share import queue_rank
 from cicadawheel.gate.inner_calls import InnerCalls
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.runs import request_kind
@@ -55,10 +54,6 @@
     told: int
 
 
-def _rank(plan: CallPlan) -> float:
-    return queue_rank(plan.priority, plan.spent_ms)
-
-
 class _ServiceState:
     def __init__(self, random: Random):
         self.demand = Demand()
@@ -95,7 +90,7 @@
 
     def call_began(self, plan: CallPlan, now_ms: float) -> None:
         """Record a call of a caller."""
-        self._state(plan.service).demand.record_request(_rank(plan), now_ms)
+        self._state(plan.service).demand.record_request(plan.priority, now_ms)
 
     def call_answered(self, plan: CallPlan, now_ms: float) -> None:
         """Record an upstream's answer."""
@@ -115,7 +110,7 @@
         ``left_ms`` is the time until its deadline.
         """
         state = self._state(plan.service)
-        rank = _rank(plan)
+        rank = plan.priority
         passed_ms = plan.deadline_ms - left_ms
         query = RoomQuery(
             profile.work_ms,
@@ -179,7 +174,7 @@
         ``share`` is the number of repeats that the budget allows per request.
         """
         demand = self._state(plan.service).demand
-        rank = _rank(plan)
+        rank = plan.priority
         # Nobody comes back with a nested call: its outer request has failed.
         if plan.spent_ms or demand.is_highest(rank):
             return True
--- a/cicadawheel/entry/room.py
+++ b/cicadawheel/entry/room.py
@@ -45,17 +45,14 @@
 
 
 class Demand:
-    """The recent requests for a service by rank, and the answers to them.
-
-    The rank is that of `queue_rank`, by which gates order their queues.
-    """
+    """The recent requests for a service by rank, and the answers to them."""
 
     def __init__(self):
-        self._requests: dict[float, float] = {}
+        self._requests: dict[int, float] = {}
         self._answers = 0.0
         self._at_ms = 0.0
 
-    def record_request(self, rank: float, now_ms: float) -> None:
+    def record_request(self, rank: int, now_ms: float) -> None:
         """Count a request."""
         self._decay(now_ms)
         self._requests[rank] = self._requests.get(rank, 0.0) + 1.0
@@ -65,13 +62,13 @@
         self._decay(now_ms)
         self._answers += 1.0
 
-    def share_up_to(self, rank: float) -> float:
+    def share_up_to(self, rank: int) -> float:
         """Return the share of the requests of this rank or a higher one."""
         total = sum(self._requests.values())
         ahead = sum(count for one, count in self._requests.items() if one <= rank)
         return ahead / total if total else 1.0
 
-    def is_highest(self, rank: float) -> bool:
+    def is_highest(self, rank: int) -> bool:
         """Return whether no recent request has a higher rank."""
         return rank <= min(self._requests, default=rank)
 
@@ -80,7 +77,7 @@
         total = sum(self._requests.values())
         return max(1.0, (total + DEMAND_PRIOR) / (self._answers + DEMAND_PRIOR))
 
-    def taken_part(self, rank: float) -> float:
+    def taken_part(self, rank: int) -> float:
         """Return the part of the room that higher ranks take in an excess."""
         higher = [one for one in self._requests if one < rank]
         if not higher:
--- a/cicadawheel/gate/repeat_need.py
+++ b/cicadawheel/gate/repeat_need.py
@@ -21,15 +21,15 @@
 SHARED_HEDGE_PART = 0.25
 """The part for hedges while nested calls need repeats: nothing is lost without them."""
 
-REFUSED_PART = 0.75
+REFUSED_PART = 0.9
 """The part for callers' requests that weren't run: their callers are told when to come
 back."""
 
-FAILED_PART = 0.85
+FAILED_PART = 0.95
 """The part for callers' requests that may have run: their callers get an error, and
 only some send them again."""
 
-LITTLE_SPENT_PART = 0.9
+LITTLE_SPENT_PART = 0.95
 """The part for nested calls whose outer requests have less work behind them than usual:
 these have further calls to make, each of which may fail."""
 
@@ -71,7 +71,7 @@
         """Record a request, before its part is asked for."""
         if not call.spent_ms:
             return
-        if call.repeat is not Repeat.FIRST:
+        if call.repeat not in (Repeat.FIRST, Repeat.SPARE):
             self._nested_until_ms[call.priority] = now_ms + NESTED_ASK_MS
         gap_ms = call.spent_ms - self._usual_spent_ms
         self._usual_spent_ms += SPENT_SAMPLE_WEIGHT * gap_ms
