The times told to callers are kept in order of time

Cause: each refusal went through all times told before, with thousands of refusals a second that is work for nothing.

--- a/cicadawheel/entry/comeback.py
+++ b/cicadawheel/entry/comeback.py
@@ -8,7 +8,7 @@
 Does no I/O and reads no clock.
 """
 
-from collections import deque
+import heapq
 from random import Random
 
 USABLE_PART = 1.0 / 3.0
@@ -38,7 +38,7 @@
 
     def __init__(self, random: Random):
         self.random = random
-        self._told_at_ms: deque[float] = deque()
+        self._told_at_ms: list[float] = []
         self._excess_since_ms = 0.0
         self._refused_at_ms = -EXCESS_ENDED_MS
         self._answered_at_ms: float | None = None
@@ -86,11 +86,12 @@
             earliest_ms = min(earliest_ms, latest_ms * (1.0 - SPREAD_MIN_PART))
             spread_ms = latest_ms - earliest_ms
         delay_ms = earliest_ms + self.random.random() * spread_ms
-        self._told_at_ms.append(now_ms + delay_ms)
+        heapq.heappush(self._told_at_ms, now_ms + delay_ms)
         return delay_ms
 
     def pending(self, now_ms: float) -> int:
         """Return how many callers were told a time that hasn't passed."""
-        told = [at_ms for at_ms in self._told_at_ms if at_ms > now_ms]
-        self._told_at_ms = deque(told)
+        told = self._told_at_ms
+        while told and told[0] <= now_ms:
+            heapq.heappop(told)
         return len(told)
