--- a/cicadawheel/entry/door.py
+++ b/cicadawheel/entry/door.py
@@ -23,11 +23,7 @@
     reason_to_refuse,
 )
 from cicadawheel.entry.router import Router
-from cicadawheel.entry.tries import (
-    covers_tries,
-    declines_with_room,
-    mean_shed_share,
-)
+from cicadawheel.entry.tries import covers_tries, mean_shed_share
 from cicadawheel.gate.inner_calls import InnerCalls
 from cicadawheel.gate.repeats import GateRepeats
 from cicadawheel.gate.runs import request_kind
@@ -220,9 +216,6 @@
         wait_ms = self.router.shortest_wait_ms(service, profile, plan.target_ms)
         if reason not in TOLD_REASONS or plan.spent_ms:
             return retry_after_ms(reason, wait_ms, self.router.random)
-        candidates = self.router.open_candidates(service, now_ms)
-        if declines_with_room(candidates, self.half_life_ms, now_ms):
-            return retry_after_ms(reason, 0.0, self.router.random)
         comebacks = self._state(service).comebacks
         delay_ms = comebacks.delay_ms(wait_ms, profile.work_ms, left_ms, now_ms)
         log_event(
--- a/cicadawheel/entry/tries.py
+++ b/cicadawheel/entry/tries.py
@@ -12,21 +12,6 @@
 
 from cicadawheel.entry.candidate import Candidate
 
-DECLINING_SHARE = 0.15
-"""A smaller share of declined requests may be chance."""
-
-
-def declines_with_room(
-    candidates: list[Candidate], half_life_ms: float, now_ms: float
-) -> bool:
-    """Return whether upstreams decline requests although they have free slots.
-
-    To come back later gains nothing then but another chance, and costs the target.
-    """
-    if not any(candidate.has_free_slot() for candidate in candidates):
-        return False
-    return mean_shed_share(candidates, half_life_ms, now_ms) > DECLINING_SHARE
-
 
 def mean_shed_share(
     candidates: Iterable[Candidate], half_life_ms: float, now_ms: float
