--- a/cicadawheel/gate/news.py
+++ b/cicadawheel/gate/news.py
@@ -12,7 +12,7 @@
 """A smaller change of the slowness is within the spread of calls and moves none."""
 
 FAILURE_STEP = 0.15
-"""A smaller change of the share of failures may be chance."""
+"""A smaller change of the share of failed or declined requests may be chance."""
 
 LINK_USE_STEP = 0.3
 """A smaller change of the use of the link changes the time of an answer little."""
@@ -86,5 +86,7 @@
         return True
     if abs(pushed.link_use - load.link_use) >= LINK_USE_STEP:
         return True
+    if abs(pushed.shed_share - load.shed_share) >= FAILURE_STEP:
+        return True
     ratio = load.slowness / pushed.slowness
     return ratio >= SLOWNESS_STEP or ratio <= 1.0 / SLOWNESS_STEP
--- a/test/test_busy_gates.py
+++ b/test/test_busy_gates.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+from types import SimpleNamespace
 
 import pytest
 from lone_gate import make_call, serve_gate
@@ -111,7 +112,7 @@
     ],
 )
 def test_only_what_costs_little_moves_on(size_bytes, complete, busy, moves_on):
-    body = RequestBody(None, 65_536, complete=False)
+    body = RequestBody(SimpleNamespace(), 65_536, complete=False)
     body.receive(b"x" * size_bytes)
     if complete:
         body.receive_end()
