An idle connection makes room for another one

Cause: a crowd that opens connection_limit connections and sends nothing kept all others out until the idle time-out, and did so again; the default was above the descriptors that a VM of the platform leaves.

Change: one more connection ends the longest idle one; refused is one only if all have a request, or an answer that isn't taken. On the platform the limit is half of max_fds.

The new test opens one idle connection at a limit of 1; without the change the second was refused with 503.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -31,7 +31,7 @@
 from cicadawheel.entry.transfer import LinkMeter
 from cicadawheel.entry.versions import Pick, Versions
 from cicadawheel.gate.gate import Gate
-from cicadawheel.http.caller import CallerConnection
+from cicadawheel.http.caller import CallerConnection, end_longest_idle
 from cicadawheel.http.caller_request import CallerRequest
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.http.fields import (
@@ -191,8 +191,12 @@
                 connection.close_when_idle()
 
     def connection_opened(self, connection: CallerConnection) -> bool:
-        """Register a connection, and return whether it is within the limit."""
-        if len(self._connections) >= self.settings.connection_limit:
+        """Register a connection, and return whether it is within the limit.
+
+        One that is idle makes room for it.
+        """
+        is_full = len(self._connections) >= self.settings.connection_limit
+        if is_full and not end_longest_idle(self._connections):
             return False
         self._connections.add(connection)
         connection.closing = self.draining
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -5,6 +5,7 @@
 import logging
 import socket
 from collections import deque
+from collections.abc import Iterable
 from enum import Enum
 from typing import Protocol
 
@@ -253,6 +254,23 @@
         self._closes_when_idle = True
         self._close_if_idle()
 
+    @property
+    def idle_since_s(self) -> float:
+        """When the last answer was sent, or the connection was opened."""
+        return self._idle_since_s
+
+    def end_idle(self) -> bool:
+        """Close the connection if that loses no request and no answer.
+
+        Returns whether it was closed.
+        """
+        if self._transport is None or self.state is not ConnectionState.IDLE:
+            return False
+        if self.unsent_bytes() or has_unread_bytes(self._transport):
+            return False
+        self._close()
+        return True
+
     def closes_after(self, request: CallerRequest) -> bool:
         """Return whether the connection closes after the answer to a request."""
         return self.closing and request is self._requests[-1]
@@ -627,3 +645,23 @@
         if owner is not None:
             owner.caller_lost()
         request.refuse(status, reason)
+
+
+def end_longest_idle(connections: Iterable[CallerConnection]) -> bool:
+    """Close the connection that has been idle for longest, to make room for another.
+
+    Returns whether there is one. Idle clients that came first would otherwise keep
+    others out for as long as they stay.
+    """
+    for connection in sorted(connections, key=lambda one: one.idle_since_s):
+        if connection.end_idle():
+            log_event(
+                log,
+                "client_ended",
+                warning=True,
+                peer=connection.peer,
+                kind=HoldingKind.CALLER.value,
+                reason="too many connections",
+            )
+            return True
+    return False
--- a/cicadawheel/platform/settings.py
+++ b/cicadawheel/platform/settings.py
@@ -17,6 +17,8 @@
 HELD_SHARE = 0.2
 """Share of a process's memory for what it holds for clients."""
 BYTES_PER_MB = 1_048_576
+CALLER_DESCRIPTOR_SHARE = 0.5
+"""Share of a process's descriptors for the connections of callers."""
 
 DRAIN_MARGIN_S = 0.8
 """Draining ends this long before the platform kills the process."""
@@ -68,6 +70,9 @@
         if not math.isfinite(held_mb):
             raise ValueError(f"memory_mb can't be {held_mb}")
         parser["holdings"] = {"held_bytes": str(int(held_mb * BYTES_PER_MB))}
+    if bounds.get("max_fds"):
+        connections = bounds.getint("max_fds") * CALLER_DESCRIPTOR_SHARE
+        set_value("entry", "connection_limit", int(connections))
     if "retry_budget_ratio" in bounds:
         set_value("entry", "retry_share", bounds.getfloat("retry_budget_ratio"))
     if "budget_slack" in bounds:
--- a/test/test_caller_limits.py
+++ b/test/test_caller_limits.py
@@ -3,7 +3,9 @@
 import asyncio
 import os
 
+import msgspec
 import pytest
+from site_in_loop import call, until
 
 from cicadawheel.configuration import CallerLimits
 from cicadawheel.http.caller import LINGER_TIMEOUT_S, CallerConnection
@@ -296,3 +298,20 @@
     data = asyncio.run(main())
     assert data.startswith(b"HTTP/1.1 503")
     assert b"connection: close" in data.lower()
+
+
+def test_idle_connection_makes_room_for_another_one(on_site):
+    """Idle clients kept everybody else out until their time-out."""
+
+    async def work(site):
+        node = site.nodes[0]
+        settings = msgspec.structs.replace(node.entry.settings, connection_limit=1)
+        node.entry.settings = settings
+        address = node.settings.node.caller_address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        await until(lambda: node.entry.has_callers())
+        assert (await call(node, "GET", "/list")).status == 200
+        assert not await reader.read()
+        writer.close()
+
+    on_site(work, node_count=1)
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -241,6 +241,8 @@
 retry_budget_ratio = 0.2
 budget_window_s = 10
 exposure_share = 0.1
+memory_mb = 200
+max_fds = 4100
 never_heard_of = true
 """
 
@@ -253,6 +255,8 @@
     assert (settings.entry.retry_share, settings.entry.retry_slack) == (0.2, 56.0)
     assert settings.entry.retry_window_ms == 10_000.0
     assert settings.control.release_share == 0.1
+    assert settings.holdings.held_bytes == 40 * 1_048_576
+    assert settings.entry.connection_limit == 2_050
     assert settings.node.control_streams()[0] == Address("10.0.0.9", 7380)
 
 
