Stalled clients are ended before larger ones that move

Cause: over the second mark the account ended those below the minimum rate first; but these are ended in the same check that finds them, so that only the size decided.

Change: a client that was to act and has done nothing for a second comes first, then the largest.

Measured: test_holdings, 7 passed; the new case fails on the code before (the larger one that moved was ended).

--- a/cicadawheel/holdings.py
+++ b/cicadawheel/holdings.py
@@ -21,7 +21,12 @@
 PAUSE_SHARE = 0.5
 """Share of the limit above which the largest holders are no longer read."""
 END_SHARE = 0.8
-"""Share above which holders are ended; the rest is kept for ordinary requests."""
+"""Share above which holders are ended, down to the share at which they are paused.
+
+The rest is kept for ordinary requests.
+"""
+STALLED_MS = 1_000.0
+"""A client that has sent or taken nothing for this long is ended before others."""
 ORDINARY_BYTES = 16_384
 """A holder of no more than this is never ended for the sake of others."""
 
@@ -70,12 +75,12 @@
     """
 
     __slots__ = (
+        "_moved_at_ms",
         "_moved_bytes",
         "_waiting_since_ms",
         "account",
         "held_bytes",
         "holder",
-        "is_slow",
         "kind",
         "paused",
         "peer",
@@ -90,8 +95,8 @@
         self.holder = holder
         self.held_bytes = 0
         self.paused = False
-        self.is_slow = False
         self._moved_bytes = 0
+        self._moved_at_ms = 0.0
         self._waiting_since_ms: float | None = None
 
     def hold(self, size_bytes: int) -> None:
@@ -100,7 +105,9 @@
 
     def move(self, size_bytes: int) -> None:
         """Count bytes that the client has sent or taken."""
-        self._moved_bytes += size_bytes
+        if size_bytes:
+            self._moved_bytes += size_bytes
+            self._moved_at_ms = self.account.clock.now_ms()
 
     def expect(self, waits: bool) -> None:
         """State whether the client is to send or take bytes now.
@@ -109,28 +116,32 @@
         """
         if not waits:
             self._waiting_since_ms = None
-            self.is_slow = False
         elif self._waiting_since_ms is None:
-            self._waiting_since_ms = self.account.clock.now_ms()
+            self._waiting_since_ms = self._moved_at_ms = self.account.clock.now_ms()
             self._moved_bytes = 0
 
     def release(self) -> None:
         """Remove the holding from the account."""
         self.account.remove(self)
 
+    def is_stalled(self, now_ms: float) -> bool:
+        """Return whether the client was to act and has done nothing for a while."""
+        if self._waiting_since_ms is None or self.paused:
+            return False
+        return now_ms - self._moved_at_ms >= STALLED_MS
+
     def measure(self, now_ms: float, settings: HoldingSettings) -> bool:
-        """Update and return whether the client is slower than the minimum rate."""
+        """Return whether the client was slower than the minimum rate, once a grace."""
         if self._waiting_since_ms is None or self.paused:
-            self.is_slow = False
             return False
         waited_ms = now_ms - self._waiting_since_ms
         if waited_ms < settings.rate_grace_ms:
             return False
         least_bytes = settings.rate_min_bytes_per_s * waited_ms / MS_PER_S
-        self.is_slow = self._moved_bytes < least_bytes
+        is_slow = self._moved_bytes < least_bytes
         self._waiting_since_ms = now_ms
         self._moved_bytes = 0
-        return self.is_slow
+        return is_slow
 
 
 class Holdings:
@@ -224,10 +235,14 @@
         holding.holder.resume_holding()
 
     def _end_largest(self) -> None:
-        """End holders, the slowest and largest first, until there is room again."""
+        """End holders, stalled ones first, then the largest, until there is room."""
+        now_ms = self.clock.now_ms()
         excess_bytes = self.total_bytes - PAUSE_SHARE * self.settings.held_bytes
         large = [one for one in self._open if one.held_bytes > ORDINARY_BYTES]
-        heap = [(not one.is_slow, -one.held_bytes, i) for i, one in enumerate(large)]
+        heap = [
+            (not one.is_stalled(now_ms), -one.held_bytes, i)
+            for i, one in enumerate(large)
+        ]
         heapq.heapify(heap)
         while heap and excess_bytes > 0:
             holding = large[heapq.heappop(heap)[2]]
--- a/test/test_holdings.py
+++ b/test/test_holdings.py
@@ -99,6 +99,15 @@
     assert not any(client.reason for client in moving)
 
 
+def test_stalled_client_gives_way_before_a_larger_one(account):
+    stalled, moving = (Client(account, 9_000_000, 0) for _ in "ab")
+    stalled.holding.hold(3_200_000)
+    account.clock.at_ms += 1_500.0
+    moving.holding.move(4_900_000)
+    moving.holding.hold(4_900_000)
+    assert (stalled.reason, moving.reason) == (EndReason.TOO_MUCH, None)
+
+
 def test_requests_with_a_body_are_refused_first(account):
     holding = account.open(HoldingKind.CALLER, "c", Client(account, 1, 1))
     small = [account.open(HoldingKind.CALLER, "c", Client(account, 1, 1)) for _ in "ab"]
