A single request of many fields, or of tiny chunks, is served in calm

Change: each field counts in the account with what it takes as objects; bodies in tiny chunks are read on for four clients at a time, one more is refused.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -25,7 +25,7 @@
     has_body,
     read_request,
 )
-from cicadawheel.http.pieces import FIELDS_LIMIT, too_small
+from cicadawheel.http.pieces import FIELD_OBJECTS_BYTES, too_small
 from cicadawheel.http.refused_pace import RefusedPace
 from cicadawheel.http.run_order import DEFAULT_LIMITS, AheadLimits, RunOrder
 from cicadawheel.http.unread import has_unread_bytes
@@ -45,7 +45,6 @@
 PIPELINE_LIMIT_BYTES = 65_536
 REQUEST_TIMEOUT_STATUS = 408
 CONTENT_TOO_LARGE_STATUS = 413
-FIELDS_TOO_LARGE_STATUS = 431
 NOT_IMPLEMENTED_STATUS = 501
 UNAVAILABLE_STATUS = 503
 # Most events of the parser that are handled in one turn of the event loop. One read can
@@ -360,7 +359,9 @@
         self._taken_bytes = taken_bytes
         sends = self._receives_body() and not self._is_full()
         self._holding.expect(sends or unsent_bytes > 0)
+        fields = sum(request.fields for request in self._requests)
         objects_bytes = len(self._requests) * REQUEST_OBJECTS_BYTES
+        objects_bytes += fields * FIELD_OBJECTS_BYTES
         self._holding.hold(self.held_bytes() + objects_bytes)
 
     def _write(self, data: bytes) -> None:
@@ -568,6 +569,8 @@
         elif isinstance(event, h11.Data):
             self._receive_body(self._requests[-1], bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
+            if self._holding is not None:
+                self._holdings.body_ended(self._holding)
             request = self._requests[-1]
             request.whole = True
             request.body_paused = False
@@ -588,10 +591,6 @@
             return
         if self._reject_oversized_body(request, content_length(head.headers) or 0):
             return
-        if len(head.headers) > FIELDS_LIMIT:
-            reason = "the request has too many fields"
-            self._refuse_head(request, FIELDS_TOO_LARGE_STATUS, reason)
-            return
         if self._holdings and not self._holdings.admits(has_body(head.headers)):
             reason = "too much is held for other requests"
             self._refuse_head(request, UNAVAILABLE_STATUS, reason)
@@ -609,7 +608,8 @@
             return
         request.body_bytes += len(data)
         request.body_pieces += 1
-        if too_small(request.body_pieces, request.body_bytes):
+        small = too_small(request.body_pieces, request.body_bytes)
+        if small and not self._admits_small_pieces():
             reason = "the chunks of the body are too small"
             log_event(log, "caller_refused", peer=self.peer, reason=reason)
             self._reject(request, CONTENT_TOO_LARGE_STATUS, reason)
@@ -619,6 +619,9 @@
         if request.owner is not None:
             request.owner.body_received(data)
 
+    def _admits_small_pieces(self) -> bool:
+        return not self._holding or self._holdings.admits_small_pieces(self._holding)
+
     def _reject_oversized_body(self, request: CallerRequest, body_bytes: int) -> bool:
         """Reject the request with 413 if its body exceeds the limit.
 
--- a/cicadawheel/http/caller_request.py
+++ b/cicadawheel/http/caller_request.py
@@ -125,6 +125,7 @@
         """Whether nothing more of the answer follows: it is complete, cut or lost."""
         self.body_bytes = 0
         self.body_pieces = 0
+        self.fields = 0 if head is None else len(head.headers)
         self.body_held_bytes = 0
         self.body_paused = False
         self.runs_once = False
