An error of a call that begins ends its own connection only

Cause: an unexpected error in a call that begins after an earlier answer was raised in the call that had been answered, which then didn't end.

Change: it is logged as call_failed, and the caller's connection is closed.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -233,8 +233,13 @@
         while self._requests and self._requests[0].answered:
             if not self._finish_first():
                 return
-        self._start_waiting()
-        self._read_on()
+        try:
+            self._start_waiting()
+            self._read_on()
+        except Exception:
+            # The call that was answered has yet to end, and isn't to blame.
+            log_event(log, "call_failed", traceback=True, peer=self.peer)
+            self.abort()
 
     def update_reading(self) -> None:
         """Pause reading while what has been received can't be processed."""
