Refusals at the entry are named as its admission

Cause: "door" is no term of the field. entry/door.py becomes entry/admission.py, cicadawheel_door_refusals_total becomes cicadawheel_entry_refusals_total.

Measured: test_room.py, test_shedding.py, test_inner_calls.py, test_comeback.py, test_entry_calls.py, test_call_errors.py and test_entry_garbage.py pass.

--- a/cicadawheel/entry/door.py
+++ b/cicadawheel/entry/admission.py
@@ -47,7 +47,7 @@
 """Reasons that are due to the load, after which returns are spread."""
 
 
-class DoorReport(msgspec.Struct, frozen=True):
+class EntryAdmissionReport(msgspec.Struct, frozen=True):
     """The room of one service as last estimated, for operators."""
 
     service: ServiceName
@@ -74,7 +74,7 @@
     repeats: GateRepeats
 
 
-class Door:
+class EntryAdmission:
     """Refuses calls for which a service has no room, and spreads their return.
 
     Parameters
@@ -132,7 +132,7 @@
         highest = state.demand.is_highest(rank) or plan.spent_ms > 0.0
         reason = reason_to_refuse(room, query, highest)
         if reason is not None:
-            self.metrics.count_door_refusal(plan.service, reason)
+            self.metrics.count_entry_refusal(plan.service, reason)
             log_event(
                 log,
                 "call_without_room",
@@ -167,7 +167,7 @@
         if not gate.inner_calls.are_refused(kind, now_ms):
             return False
         reason = RefusalReason.OVERLOAD
-        self.metrics.count_door_refusal(plan.service, reason)
+        self.metrics.count_entry_refusal(plan.service, reason)
         log_event(
             log, "call_in_vain", request=plan.request, service=plan.service, kind=kind
         )
@@ -232,10 +232,10 @@
             self.metrics.observe_told_return(service, delay_ms)
         return delay_ms
 
-    def report(self, now_ms: float) -> list[DoorReport]:
+    def report(self, now_ms: float) -> list[EntryAdmissionReport]:
         """Return the room of each service as last estimated."""
         return [
-            DoorReport(service, state.room, state.comebacks.pending(now_ms))
+            EntryAdmissionReport(service, state.room, state.comebacks.pending(now_ms))
             for service, state in self._services.items()
         ]
 
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cicadawheel.configuration import CallerLimits, Configuration, Member
+from cicadawheel.entry.admission import EntryAdmission, EntryAdmissionReport
 from cicadawheel.entry.answer import (
     Answer,
     CallerFault,
@@ -14,7 +15,6 @@
 )
 from cicadawheel.entry.call import EntryCall
 from cicadawheel.entry.claim import ClaimClient
-from cicadawheel.entry.door import Door, DoorReport
 from cicadawheel.entry.latency import Latencies
 from cicadawheel.entry.nested import plan_nested
 from cicadawheel.entry.no_view import refuse_without_view
@@ -74,7 +74,7 @@
     router: RouterReport
     retry_budgets: list[RetryBudgetReport]
     quarantined: list[Fingerprint]
-    door: list[DoorReport]
+    admission: list[EntryAdmissionReport]
 
 
 class Entry:
@@ -135,7 +135,7 @@
         self.caller_service = ServiceName("")
         self.repeats = Repeats(settings, router, clock)
         self.work_times = WorkTimes()
-        self.door = Door(router, settings.report_half_life_ms, metrics)
+        self.admission = EntryAdmission(router, settings.report_half_life_ms, metrics)
         self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
         self.probe_limiter = ProbeLimiter()
@@ -247,7 +247,7 @@
             self.metrics.count_nested(plan.service, plan.spent_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
         reserve.record_request(reserve_rank(plan.priority, plan.spent_ms), now_ms)
-        self.door.call_began(plan, now_ms)
+        self.admission.call_began(plan, now_ms)
         within = self.gate.repeats.is_within(plan.request)
         call = EntryCall(self, connection, request, plan, within)
         self.calls.add(call)
@@ -277,7 +277,9 @@
             self.gate.repeats.runs.call_refused(plan.request, self.clock.now_ms())
         if not_run and self.dialect.seal:
             profile, now_ms = self._profile(plan), self.clock.now_ms()
-            delay_ms = self.door.retry_after_ms(plan, profile, reason, left_ms, now_ms)
+            delay_ms = self.admission.retry_after_ms(
+                plan, profile, reason, left_ms, now_ms
+            )
         return answer_refusal(reason, not_run, plan.request, self.dialect, delay_ms)
 
     def pick(
@@ -353,12 +355,12 @@
         now_ms = self.clock.now_ms()
         if not self.repeats.shared:
             return None
-        if self.door.is_in_vain(plan, self.gate, now_ms):
+        if self.admission.is_in_vain(plan, self.gate, now_ms):
             return RefusalReason.OVERLOAD
         if self.router.has_free_slot(node):
             return None
         profile = self._profile(plan)
-        return self.door.reason_to_refuse(plan, profile, left_ms, now_ms)
+        return self.admission.reason_to_refuse(plan, profile, left_ms, now_ms)
 
     def may_try_elsewhere(self, plan: CallPlan, refused: Refused) -> bool:
         """Return whether the budget is left to a call that an upstream declined."""
@@ -366,7 +368,7 @@
         if not self.repeats.shared or not declined:
             return True
         share, now_ms = self.settings.retry_share, self.clock.now_ms()
-        return self.door.may_try_elsewhere(plan, share, now_ms)
+        return self.admission.may_try_elsewhere(plan, share, now_ms)
 
     def count_unsent_repeat(self, plan: CallPlan, cause: Repeat) -> None:
         """Count a repeat that isn't sent because every gate would refuse it."""
@@ -381,7 +383,7 @@
         if good:
             slowness = max(self.router.slowness(node), head.load.slowness)
             self.work_times.add(plan.route, latency_ms, slowness)
-            self.door.call_answered(plan, now_ms)
+            self.admission.call_answered(plan, now_ms)
         self.router.ended(node, head.load, now_ms)
         if self.router.answered(node, good, now_ms):
             log_event(log, "upstream_ejected", node=node, reason="bad answers")
@@ -470,7 +472,7 @@
         self.calls.discard(call)
         self.metrics.count_call(call.plan.service, end)
         refused, now_ms = end is CallEnd.NOT_RUN, self.clock.now_ms()
-        self.door.call_ended(call.plan, refused, self.gate, now_ms)
+        self.admission.call_ended(call.plan, refused, self.gate, now_ms)
         if not self.calls:
             self.idle.set()
 
@@ -500,5 +502,5 @@
             router=self.router.report(self.clock.now_ms()),
             retry_budgets=self.repeats.report(),
             quarantined=sorted(self.quarantined),
-            door=self.door.report(self.clock.now_ms()),
+            admission=self.admission.report(self.clock.now_ms()),
         )
--- a/cicadawheel/metrics.py
+++ b/cicadawheel/metrics.py
@@ -62,9 +62,9 @@
             ["service", "cause", "outcome"],
             registry=self.registry,
         )
-        self.door_refusals = Counter(
-            "cicadawheel_door_refusals",
-            "Calls refused before they were sent to a gate, as there was no room.",
+        self.entry_refusals = Counter(
+            "cicadawheel_entry_refusals",
+            "Calls refused at the entry, as there was no room.",
             ["service", "reason"],
             registry=self.registry,
         )
@@ -136,9 +136,9 @@
         """Count an attempt refused by a gate."""
         self.refusals.labels(reason.value).inc()
 
-    def count_door_refusal(self, service: ServiceName, reason: Enum) -> None:
+    def count_entry_refusal(self, service: ServiceName, reason: Enum) -> None:
         """Count a call that was refused before it was sent to a gate."""
-        self.door_refusals.labels(service, reason.value).inc()
+        self.entry_refusals.labels(service, reason.value).inc()
 
     def observe_told_return(self, service: ServiceName, delay_ms: float) -> None:
         """Record the time after which a refused caller was told to come back."""
--- a/test/test_room.py
+++ b/test/test_room.py
@@ -15,9 +15,9 @@
 from spells import SLOW_SHARE, SLOWNESS
 
 from cicadawheel.configuration import Member
+from cicadawheel.entry.admission import EntryAdmission
 from cicadawheel.entry.candidate import Candidate
 from cicadawheel.entry.comeback import USABLE_PART, Comebacks
-from cicadawheel.entry.door import Door
 from cicadawheel.entry.placement import CallProfile
 from cicadawheel.entry.plan import CallPlan
 from cicadawheel.entry.retry_after import retry_after_ms
@@ -36,15 +36,16 @@
 
 
 class BurstFleet(NewsFleet):
-    """Callers of two priorities, who come back once; with doors or without."""
+    """Callers of two priorities; ``refusing`` entries refuse those without room."""
 
-    def __init__(self, seed, with_doors):
+    def __init__(self, seed, refusing):
         super().__init__(seed, gates=GATES, entries=70)
         metrics = NodeMetrics()
-        self.doors = {
-            router: Door(router, HALF_LIFE_MS, metrics) for router in self.routers
+        self.admissions = {
+            router: EntryAdmission(router, HALF_LIFE_MS, metrics)
+            for router in self.routers
         }
-        self.with_doors = with_doors
+        self.refusing = refusing
         self.served = Counter()
         self.refused_after_ms = []
         self.returns_ms = []
@@ -63,14 +64,14 @@
 
     def _enter(self, call, now_ms):
         call.plan = make_plan(call, now_ms)
-        self.doors[call.router].call_began(call.plan, now_ms)
+        self.admissions[call.router].call_began(call.plan, now_ms)
         self._place(call, now_ms)
 
     def has_no_room(self, call, node, now_ms):
-        if not self.with_doors or call.router.has_free_slot(node):
+        if not self.refusing or call.router.has_free_slot(node):
             return False
         left_ms = call.started_ms + DEADLINE_MS - now_ms
-        refused = self.doors[call.router].reason_to_refuse(
+        refused = self.admissions[call.router].reason_to_refuse(
             call.plan, CallProfile(WORK_MS), left_ms, now_ms
         )
         if refused is not None:
@@ -81,8 +82,8 @@
         self.refused_after_ms.append(now_ms - call.entered_ms)
         left_ms = call.started_ms + DEADLINE_MS - now_ms
         profile, reason = CallProfile(WORK_MS), RefusalReason.OVERLOAD
-        if self.with_doors:
-            delay_ms = self.doors[call.router].retry_after_ms(
+        if self.refusing:
+            delay_ms = self.admissions[call.router].retry_after_ms(
                 call.plan, profile, reason, left_ms, now_ms
             )
         else:
@@ -99,7 +100,7 @@
 
     def answered(self, call, gate, failed, now_ms):
         super().answered(call, gate, failed, now_ms)
-        self.doors[call.router].call_answered(call.plan, now_ms)
+        self.admissions[call.router].call_answered(call.plan, now_ms)
         self.served["all", call.priority] += 1
         if now_ms - call.started_ms <= TARGET_MS:
             self.served["in time", call.priority] += 1
@@ -123,8 +124,8 @@
 
 
 @cache
-def play(seed, with_doors):
-    fleet = BurstFleet(seed, with_doors)
+def play(seed, refusing):
+    fleet = BurstFleet(seed, refusing)
     fleet.run(0.0, SECONDS)
     return fleet
 
@@ -132,15 +133,15 @@
 SEEDS = (1, 2, 3)
 
 
-def share(with_doors, ended, ranks=(0, 1)):
+def share(refusing, ended, ranks=(0, 1)):
     """Return the share of the calls that ended so, over all seeds."""
-    served = sum((play(seed, with_doors).served for seed in SEEDS), Counter())
+    served = sum((play(seed, refusing).served for seed in SEEDS), Counter())
     calls = sum(served["calls", rank] for rank in ranks)
     return sum(served[ended, rank] for rank in ranks) / calls
 
 
-def refused_after_ms(with_doors):
-    return [at for seed in SEEDS for at in play(seed, with_doors).refused_after_ms]
+def refused_after_ms(refusing):
+    return [at for seed in SEEDS for at in play(seed, refusing).refused_after_ms]
 
 
 def test_refusals_in_a_burst_come_at_once_and_serve_no_fewer():
--- a/test/test_shedding.py
+++ b/test/test_shedding.py
@@ -20,7 +20,7 @@
 from test_room import make_candidates, make_plan
 
 from cicadawheel.announcement import UpstreamLoad
-from cicadawheel.entry.door import Door
+from cicadawheel.entry.admission import EntryAdmission
 from cicadawheel.entry.placement import CallProfile
 from cicadawheel.entry.router import Router
 from cicadawheel.gate.decision import Result
@@ -34,10 +34,7 @@
 GATES, ENTRIES, CALLS_PER_S = 18, 30, 300.0
 SHED_MS, SHED_SHARE = (5_000.0, 13_500.0), 0.55
 BUDGET_SHARE, BUDGET_SLACK, WINDOW_MS = 0.2, 100.0, 10_000.0
-URGENT_SHARE = 0.2
-ATTEMPTS = 3
-TRY_MS = 5.0
-END_MS = 16_000.0
+URGENT_SHARE, ATTEMPTS, TRY_MS, END_MS = 0.2, 3, 5.0, 16_000.0
 
 
 def make_call_of(priority, number, at_ms):
@@ -57,16 +54,18 @@
             for _ in range(GATES)
         ]
         metrics = NodeMetrics()
-        self.doors = [
-            Door(Router(EntrySettings(), "d", Random(n), f"n{n}"), 1_000.0, metrics)
+        self.admissions = [
+            EntryAdmission(
+                Router(EntrySettings(), "d", Random(n), f"n{n}"), 1_000.0, metrics
+            )
             for n in range(ENTRIES)
         ]
         self.candidates = make_candidates(0, count=GATES)
         for budget in self.budgets:
             budget.share_with(GATES, -WINDOW_MS * 2)
-        for door in self.doors:
+        for admission in self.admissions:
             # All gates push to all entries, so that they know the same.
-            door.router.open_candidates = lambda service, now_ms: self.candidates
+            admission.router.open_candidates = lambda service, now_ms: self.candidates
         self.ends = Counter()
         self.sent_ms, self.repeats_ms = [], []
         self._events, self._numbers = [], count()
@@ -79,13 +78,13 @@
             self._at(at_ms, make_call_of(priority, next(self._numbers), at_ms), 0)
         while self._events:
             now_ms, _, call, comebacks = heapq.heappop(self._events)
-            door = self.draw.choice(self.doors)
-            door.call_began(make_plan(call, now_ms), now_ms)
-            ended = self._serve(call, door, now_ms)
+            admission = self.draw.choice(self.admissions)
+            admission.call_began(make_plan(call, now_ms), now_ms)
+            ended = self._serve(call, admission, now_ms)
             self.ends[ended, call.priority] += ended == "served" or comebacks > 0
             if ended == "refused" and not comebacks:
                 plan = make_plan(call, now_ms)
-                delay_ms = door.retry_after_ms(
+                delay_ms = admission.retry_after_ms(
                     plan, CallProfile(90.0), RefusalReason.OVERLOAD, 2_000.0, now_ms
                 )
                 self._at(now_ms + delay_ms, call, 1)
@@ -94,11 +93,12 @@
     def _at(self, at_ms, call, comebacks):
         heapq.heappush(self._events, (at_ms, next(self._numbers), call, comebacks))
 
-    def _serve(self, call, door, now_ms):
+    def _serve(self, call, admission, now_ms):
         plan = replace(make_plan(call, now_ms), attempts=ATTEMPTS)
         for attempt, gate in enumerate(self.draw.sample(range(GATES), ATTEMPTS)):
             if attempt and not (
-                self._may_try(plan, door, now_ms) and self.budgets[gate].reserve(now_ms)
+                self._may_try(plan, admission, now_ms)
+                and self.budgets[gate].reserve(now_ms)
             ):
                 return "refused"
             if attempt:
@@ -111,15 +111,15 @@
             shed = shed and self.draw.random() < SHED_SHARE
             self._ended(gate, Result.SHED if shed else Result.ANSWERED, now_ms)
             if not shed:
-                door.call_answered(plan, now_ms)
+                admission.call_answered(plan, now_ms)
                 return "served"
             now_ms += TRY_MS
         return "refused"
 
-    def _may_try(self, plan, door, now_ms):
+    def _may_try(self, plan, admission, now_ms):
         if not self.by_priority:
             return True
-        return door.may_try_elsewhere(plan, BUDGET_SHARE, now_ms)
+        return admission.may_try_elsewhere(plan, BUDGET_SHARE, now_ms)
 
     def _ended(self, gate, result, now_ms):
         self.shed[gate].ended(result, now_ms)
@@ -154,16 +154,16 @@
 
 def test_nested_call_gets_a_try_whatever_its_priority():
     fleet = SheddingFleet(1, by_priority=True)
-    door, now_ms = fleet.doors[0], 1_000.0
+    admission, now_ms = fleet.admissions[0], 1_000.0
     for gate in [*range(GATES)] * 20:
         fleet._ended(gate, Result.SHED, now_ms)
     plans = [make_plan(make_call_of(rank, rank, now_ms), now_ms) for rank in (0, 1)]
     for plan in plans:
-        door.call_began(plan, now_ms)
-    assert door.may_try_elsewhere(plans[0], BUDGET_SHARE, now_ms)
-    assert not door.may_try_elsewhere(plans[1], BUDGET_SHARE, now_ms)
+        admission.call_began(plan, now_ms)
+    assert admission.may_try_elsewhere(plans[0], BUDGET_SHARE, now_ms)
+    assert not admission.may_try_elsewhere(plans[1], BUDGET_SHARE, now_ms)
     nested = replace(plans[1], spent_ms=100.0)
-    assert door.may_try_elsewhere(nested, BUDGET_SHARE, now_ms)
+    assert admission.may_try_elsewhere(nested, BUDGET_SHARE, now_ms)
 
 
 def test_full_upstream_is_told_from_a_faulty_one_by_its_own_report():
