--- a/cicadawheel/entry/body.py
+++ b/cicadawheel/entry/body.py
@@ -5,7 +5,7 @@
 """
 
 from cicadawheel.entry.peers import CallHandle
-from cicadawheel.http.caller import CallerConnection
+from cicadawheel.http.caller_request import CallerRequest
 from cicadawheel.messages import Body, End
 
 DEFERRED_BODY_BYTES = 16_384
@@ -17,15 +17,16 @@
 
     Parameters
     ----------
-    connection : CallerConnection
-        The caller's connection; reading is paused while the buffers are full.
+    connection : CallerRequest
+        The request on the caller's connection; reading is paused while the buffers
+        are full.
     buffer_bytes : int
         The size of each of the two buffers.
     complete : bool
         Whether the body is complete from the start, that is, there is none.
     """
 
-    def __init__(self, connection: CallerConnection, buffer_bytes: int, complete: bool):
+    def __init__(self, connection: CallerRequest, buffer_bytes: int, complete: bool):
         self.connection = connection
         self.buffer_bytes = buffer_bytes
         self.complete = complete
@@ -65,12 +66,18 @@
         """Take a chunk from the caller."""
         if not self.ready:
             self.beginning += data
+            self._report_held()
             return
         self._waiting += data
         self._send()
+        self._report_held()
         if len(self._waiting) >= self.buffer_bytes:
             self.connection.pause_body()
 
+    def _report_held(self) -> None:
+        held_bytes = len(self.beginning) + len(self._waiting)
+        self.connection.body_held_bytes = held_bytes
+
     def receive_end(self) -> None:
         """Mark the body as complete."""
         self.complete = True
@@ -121,6 +128,7 @@
         del self._waiting[: len(chunk)]
         self._credit_bytes -= len(chunk)
         self.replayable = False
+        self._report_held()
         self._handle.receive(Body(self._handle.stream, chunk))
         if not self.complete and len(self._waiting) < self.buffer_bytes:
             self.connection.resume_body()
--- a/cicadawheel/entry/call.py
+++ b/cicadawheel/entry/call.py
@@ -20,7 +20,7 @@
 from cicadawheel.entry.reply import ReplyRelay
 from cicadawheel.entry.versions import Pick
 from cicadawheel.errors import CicadawheelError
-from cicadawheel.http.caller import CallerConnection
+from cicadawheel.http.caller_request import CallerRequest
 from cicadawheel.http.fields import RequestHead, has_body
 from cicadawheel.ids import NodeId, StreamId, VersionName
 from cicadawheel.logs import log_event
@@ -61,8 +61,8 @@
     ----------
     entry : CallOwner
         The entry that serves the call.
-    connection : CallerConnection
-        The caller's connection, to which the answer is sent.
+    connection : CallerRequest
+        The request on the caller's connection, to which the answer is sent.
     request : RequestHead
         The head of the request.
     plan : CallPlan
@@ -74,7 +74,7 @@
     def __init__(
         self,
         entry: CallOwner,
-        connection: CallerConnection,
+        connection: CallerRequest,
         request: RequestHead,
         plan: CallPlan,
         within_repeat: bool = False,
@@ -148,11 +148,18 @@
         else:
             self._refuse(RefusalReason.LEAVING)
 
+    @property
+    def relayed_bytes(self) -> int:
+        """The bytes of the upstream's answer that were sent to the caller."""
+        return self._reply.relayed_bytes
+
     def caller_writable(self) -> None:
         """Grant the gate credit for more of the answer."""
         self._reply.caller_writable()
 
     def _dispatch(self) -> None:
+        if not self.connection.may_start(self.plan.repeatable):
+            return
         beginning = bytes(self._body.beginning)
         self._fingerprint = make_fingerprint(self.plan, beginning)
         if self._fingerprint in self.entry.quarantined:
@@ -259,7 +266,7 @@
             depth=self.plan.depth,
             repeatable=self.plan.repeatable,
             fingerprint=self._fingerprint,
-            target_ms=self._target_left_ms(),
+            target_ms=self._next.target_left_ms(),
             priority=self.plan.priority,
             work_ms=self.entry.work_times.usual_ms(self.plan.route),
             repeat=self._next.repeat_kind(),
@@ -267,12 +274,6 @@
             spent_ms=self.plan.spent_ms,
         )
 
-    def _target_left_ms(self) -> float:
-        if not self.plan.target_ms:
-            return 0.0
-        passed_ms = self.entry.clock.now_ms() - self.started_at_ms
-        return (self.plan.target_ms - passed_ms) or -1.0
-
     def _receive(self, attempt: Attempt, message: ReplyMessage) -> None:
         if isinstance(message, ReplyHead):
             self._handle_head(attempt, message)
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -13,6 +13,7 @@
     answer_fault,
     answer_refusal,
 )
+from cicadawheel.entry.answer_size import AnswerSizes
 from cicadawheel.entry.call import EntryCall
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.latency import Latencies
@@ -27,9 +28,11 @@
 from cicadawheel.entry.retry import RetryBudgetReport
 from cicadawheel.entry.router import Router, RouterReport
 from cicadawheel.entry.routes import RouteTable
+from cicadawheel.entry.transfer import LinkMeter
 from cicadawheel.entry.versions import Pick, Versions
 from cicadawheel.gate.gate import Gate
-from cicadawheel.http.caller import CallerConnection
+from cicadawheel.http.caller import CallerConnection, end_longest_idle
+from cicadawheel.http.caller_request import CallerRequest
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.http.fields import (
     Headers,
@@ -57,7 +60,7 @@
 )
 from cicadawheel.metrics import NodeMetrics
 from cicadawheel.release.chooser import VersionChoice
-from cicadawheel.reserve import SlotReserve, reserve_rank
+from cicadawheel.reserve import SlotReserve
 from cicadawheel.settings import EntrySettings
 from cicadawheel.timer import Clock
 
@@ -74,6 +77,7 @@
     router: RouterReport
     retry_budgets: list[RetryBudgetReport]
     quarantined: list[Fingerprint]
+    answer_bytes: dict[str, float]
     admission: list[EntryAdmissionReport]
 
 
@@ -104,6 +108,8 @@
         Selects the version of a service for each call.
     dialect : Dialect
         The header fields that callers and upstreams use.
+    link_mbps : float
+        The rate of this VM's link, 0 if it is unknown.
     """
 
     def __init__(
@@ -119,6 +125,7 @@
         metrics: NodeMetrics,
         versions: Versions,
         dialect: Dialect = OWN_DIALECT,
+        link_mbps: float = 0.0,
     ):
         self.node = node
         self.settings = settings
@@ -135,6 +142,9 @@
         self.caller_service = ServiceName("")
         self.repeats = Repeats(settings, router, clock)
         self.work_times = WorkTimes()
+        self.answer_sizes = AnswerSizes()
+        self.link = LinkMeter(link_mbps)
+        self.relayed_bytes = 0
         self.admission = EntryAdmission(router, settings.report_half_life_ms, metrics)
         self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
@@ -181,8 +191,12 @@
                 connection.close_when_idle()
 
     def connection_opened(self, connection: CallerConnection) -> bool:
-        """Register a connection, and return whether it is within the limit."""
-        if len(self._connections) >= self.settings.connection_limit:
+        """Register a connection, and return whether it is within the limit.
+
+        One that is idle makes room for it.
+        """
+        is_full = len(self._connections) >= self.settings.connection_limit
+        if is_full and not end_longest_idle(self._connections):
             return False
         self._connections.add(connection)
         connection.closing = self.draining
@@ -218,9 +232,11 @@
             connection.check_timeouts(now_s)
 
     def begin_call(
-        self, connection: CallerConnection, request: RequestHead
+        self, connection: CallerRequest, request: RequestHead
     ) -> EntryCall | None:
         """Begin a call, or reject an invalid request at once."""
+        if connection.ahead:
+            self.metrics.requests_ahead.inc()
         named = find_field(request.headers, self.dialect.request_id) or b""
         request_id = named.decode("latin-1")
         if not self.configuration.revision:
@@ -246,7 +262,7 @@
             plan = plan_nested(plan, outer, now_ms)
             self.metrics.count_nested(plan.service, plan.spent_ms)
         reserve = self._reserves.setdefault(plan.service, SlotReserve())
-        reserve.record_request(reserve_rank(plan.priority, plan.spent_ms), now_ms)
+        reserve.record_request(plan.priority, now_ms)
         self.admission.call_began(plan, now_ms)
         within = self.gate.repeats.is_within(plan.request)
         call = EntryCall(self, connection, request, plan, within)
@@ -283,13 +299,19 @@
         return answer_refusal(reason, not_run, plan.request, self.dialect, delay_ms)
 
     def pick(
-        self, plan: CallPlan, tried: set[NodeId], only_at: NodeId, body_bytes: int = 0
+        self,
+        plan: CallPlan,
+        tried: set[NodeId],
+        only_at: NodeId,
+        body_bytes: int = 0,
+        target_ms: float = 0.0,
     ) -> Pick | None:
         """Select the upstream for the next attempt, or None.
 
+        ``target_ms`` is the time left until the target, negative if it has passed.
         ``only_at``, if set, is the only node that may run the request.
         """
-        profile = self._profile(plan, body_bytes)
+        profile = self._profile(plan, body_bytes, target_ms, first=not tried)
         now_ms = self.clock.now_ms()
         choice = self.versions.choose(plan.service, retry=bool(tried))
         if only_at:
@@ -429,12 +451,26 @@
         done_ms = self.router.work_done_ms(pick.member.node, now_ms) - pick.work_ms
         return self.router.gain_ms(pick.member, other.member, profile, done_ms)
 
-    def _profile(self, plan: CallPlan, body_bytes: int = 0) -> CallProfile:
+    def _profile(
+        self,
+        plan: CallPlan,
+        body_bytes: int = 0,
+        target_ms: float = 0.0,
+        first: bool = True,
+    ) -> CallProfile:
         reserve = self._reserves.get(plan.service)
-        rank = reserve_rank(plan.priority, plan.spent_ms)
-        usable_part = 1.0 if reserve is None else reserve.usable_part(rank)
+        usable_part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
+        answer_bytes = self.answer_sizes.usual_bytes(plan.route)
         return CallProfile(
-            self.work_times.usual_ms(plan.route), body_bytes, usable_part
+            self.work_times.usual_ms(plan.route),
+            body_bytes,
+            usable_part,
+            answer_bytes,
+            transfer_ms=self.link.answer_ms(answer_bytes),
+            link_use=self.link.use,
+            target_ms=target_ms,
+            priority=plan.priority,
+            first=first,
         )
 
     def consider_hedges(self, now_ms: float) -> None:
@@ -444,6 +480,22 @@
         for call in list(self.calls):
             call.consider_hedge()
 
+    def watch_flows(self, now_ms: float) -> None:
+        """Log the flows that have changed, and use the far upstreams they need."""
+        for flow in self.router.flows.changes():
+            log_event(
+                log,
+                "flow_changed",
+                service=flow.service,
+                priority=flow.priority,
+                share=flow.share,
+                pressure=flow.pressure,
+                reason=flow.why,
+            )
+        if self.router.review_subsets():
+            self._update_links()
+        self.metrics.set_flow_gauges(self.router.flows.report(), self.link.use)
+
     def hedge_delay_ms(self, plan: CallPlan) -> float | None:
         """Return the delay after which a call is hedged, None if it never is."""
         quantile = plan.hedge_after_quantile
@@ -471,6 +523,9 @@
         """Deregister a call and count how it ended."""
         self.calls.discard(call)
         self.metrics.count_call(call.plan.service, end)
+        self.relayed_bytes += call.relayed_bytes
+        if end is CallEnd.ANSWERED and call.status < FIRST_SERVER_ERROR:
+            self.answer_sizes.add(call.plan.route, call.relayed_bytes)
         refused, now_ms = end is CallEnd.NOT_RUN, self.clock.now_ms()
         self.admission.call_ended(call.plan, refused, self.gate, now_ms)
         if not self.calls:
@@ -502,5 +557,6 @@
             router=self.router.report(self.clock.now_ms()),
             retry_budgets=self.repeats.report(),
             quarantined=sorted(self.quarantined),
+            answer_bytes=self.answer_sizes.report(),
             admission=self.admission.report(self.clock.now_ms()),
         )
--- a/cicadawheel/entry/next_attempt.py
+++ b/cicadawheel/entry/next_attempt.py
@@ -41,6 +41,7 @@
         self.attempts = attempts
         self.body = body
         self.within_repeat = within_repeat
+        self.started_at_ms = entry.clock.now_ms()
         self.may_have_run = False
         self.only_at = NodeId("")
         """The only node that may run the request, if it is set."""
@@ -81,8 +82,15 @@
             avoided = avoided | self.entry.repeats.nodes_over_budget(self.plan.service)
         # To queue at a gate that was busy may be better than any other gate.
         avoided = avoided - self.attempts.busy
-        size_bytes = len(self.body.beginning)
-        return self.entry.pick(self.plan, avoided, self.only_at, size_bytes)
+        size_bytes, left_ms = len(self.body.beginning), self.target_left_ms()
+        return self.entry.pick(self.plan, avoided, self.only_at, size_bytes, left_ms)
+
+    def target_left_ms(self) -> float:
+        """Return the time left until the target, negative if it has passed, or 0."""
+        if not self.plan.target_ms:
+            return 0.0
+        passed_ms = self.entry.clock.now_ms() - self.started_at_ms
+        return (self.plan.target_ms - passed_ms) or -1.0
 
     def is_immediate(self, node: NodeId) -> bool:
         """Return whether a gate is asked to start the call at once or refuse it."""
--- a/cicadawheel/gate/fair_share.py
+++ b/cicadawheel/gate/fair_share.py
@@ -18,7 +18,7 @@
 class RankedKind(msgspec.Struct, frozen=True):
     """A kind of requests; only those of the same rank share slots."""
 
-    rank: float
+    rank: int
     kind: str
 
 
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -14,7 +14,7 @@
 from cicadawheel.configuration import Configuration, Member
 from cicadawheel.control.lease import NodeLoad
 from cicadawheel.control.messages import ClaimAnswer, EvidenceReport, View
-from cicadawheel.entry import peers
+from cicadawheel.entry import locality, peers
 from cicadawheel.entry.entry import Entry, EntryReport
 from cicadawheel.entry.peers import PeerLinks
 from cicadawheel.entry.probing import REPORT_COST_BYTES
@@ -22,10 +22,14 @@
 from cicadawheel.gate.gate import Gate, GateReport
 from cicadawheel.gate.repeat_budget import RepeatBudget
 from cicadawheel.gate.server import PeerStreams, serve_peers
+from cicadawheel.holding_metrics import register_holdings
+from cicadawheel.holdings import CHECK_INTERVAL_MS, Holdings
 from cicadawheel.http import caller
 from cicadawheel.http.caller import CallerConnection
 from cicadawheel.http.dialect import OWN_DIALECT, Dialect
 from cicadawheel.http.exchange import (
+    NOTICE_PORT_LIMITS,
+    PROBE_PORT_LIMITS,
     Handler,
     HttpAnswer,
     HttpRequest,
@@ -33,12 +37,14 @@
     serve_http,
     text_answer,
 )
+from cicadawheel.http.run_order import AheadLimits
 from cicadawheel.ids import BootId, Epoch, LogIndex, NodeId, VersionName
 from cicadawheel.logs import log_event
 from cicadawheel.messages import LoadReport
 from cicadawheel.metrics import NodeMetrics
 from cicadawheel.node.admin import ANNOUNCE_REPEAT_MS, make_admin_handler
 from cicadawheel.node.announcement_filter import AnnouncementFilter
+from cicadawheel.node.bandwidth import LinkWatch
 from cicadawheel.node.claims import NodeClaims
 from cicadawheel.node.link import ControlLink
 from cicadawheel.node.peer_views import PeerViews
@@ -122,11 +128,14 @@
             settings.process.name, self.boot, settings.process.key.encode()
         )
         self.metrics = NodeMetrics()
+        self.holdings = Holdings(settings.holdings, timers.clock)
+        register_holdings(self.metrics.registry, self.holdings)
         self.random = Random(settings.process.random_seed or None)
         self.supervisor = Supervisor("node", timers.clock)
         self.draining = False
         data_centre = settings.process.data_centre
         self.gate = Gate(settings.gate, data_centre, timers, self.node, dialect)
+        self.gate.holdings = self.holdings
         self.peer_streams = PeerStreams()
         self.links = PeerLinks(self.identity, settings.entry.connect_timeout_ms, self)
         control_streams = settings.node.control_streams()
@@ -152,13 +161,17 @@
             self.metrics,
             self.releases,
             dialect,
+            settings.node.link_mbps,
         )
         self.entry.caller_service = settings.node.service
+        LinkWatch(self.entry, self.gate, self.links, self.peer_streams).start(timers)
         self.peer_views = PeerViews(self.control, self.links, self.random, timers)
         self.announced_at_ms = 0.0
         self._announcement_filter = AnnouncementFilter()
         timers.every(MEASURE_INTERVAL_MS, self._measure)
         timers.every(HEDGE_INTERVAL_MS, self.entry.consider_hedges)
+        timers.every(locality.REPORT_INTERVAL_MS, self.entry.watch_flows)
+        timers.every(CHECK_INTERVAL_MS, self.holdings.check)
         timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
         timers.every(caller.CHECK_INTERVAL_MS, self.entry.close_idle)
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
@@ -344,9 +357,16 @@
     async def _open_servers(self) -> list[asyncio.Server | HttpServer]:
         addresses = self.settings.node
         loop = asyncio.get_running_loop()
-        head_limit_bytes = self.settings.entry.head_limit_bytes
+        entry = self.settings.entry
+        ahead = AheadLimits(entry.requests_ahead_limit, entry.ahead_limit_bytes)
         callers = await loop.create_server(
-            lambda: CallerConnection(self.entry, head_limit_bytes),
+            partial(
+                CallerConnection,
+                self.entry,
+                entry.head_limit_bytes,
+                ahead,
+                self.holdings,
+            ),
             addresses.caller_address.host,
             addresses.caller_address.port,
         )
@@ -357,15 +377,16 @@
             self.control.view.message,
             self.peer_streams,
         )
-        admin = await serve_http(addresses.admin_address, self._make_handler(self))
-        servers = [callers, nodes, admin]
-        metrics = self.settings.process.metrics_address
-        if metrics is not None:
-            servers.append(await serve_http(metrics, make_admin_handler(self)))
-        if addresses.ready_address is not None:
-            servers.append(
-                await serve_http(addresses.ready_address, self._answer_ready)
-            )
+        servers = [callers, nodes]
+        ports = (
+            (addresses.admin_address, self._make_handler(self), NOTICE_PORT_LIMITS),
+            (self.settings.process.metrics_address, make_admin_handler(self), None),
+            (addresses.ready_address, self._answer_ready, None),
+        )
+        for address, handler, limits in ports:
+            if address is not None:
+                rest = (handler, limits or PROBE_PORT_LIMITS, self.holdings)
+                servers.append(await serve_http(address, *rest))
         return servers
 
     async def _answer_ready(self, request: HttpRequest) -> HttpAnswer:
--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -65,6 +65,7 @@
     upstream_address: Address | None
     drain_timeout_ms: PositiveMs
     drain_notice_ms: NonNegative
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)]
 
     def control_streams(self) -> tuple[Address, ...]:
         """Return the addresses at which control replicas accept node streams."""
@@ -114,6 +115,8 @@
     retry_window_ms: PositiveMs = 10_000.0
     head_limit_bytes: Positive = 32_768
     connection_limit: Positive = 4_096
+    requests_ahead_limit: Positive = 32
+    ahead_limit_bytes: Positive = 1_048_576
 
     @property
     def has_retry_budget(self) -> bool:
@@ -121,6 +124,14 @@
         return bool(self.retry_share or self.retry_slack)
 
 
+class HoldingSettings(msgspec.Struct, frozen=True):
+    """Section ``[holdings]``."""
+
+    held_bytes: Annotated[int, msgspec.Meta(ge=1_048_576)] = 67_108_864
+    rate_min_bytes_per_s: NonNegative = 128
+    rate_grace_ms: PositiveMs = 10_000.0
+
+
 class ControlSettings(msgspec.Struct, frozen=True):
     """Section ``[control]``."""
 
@@ -174,6 +185,7 @@
     gate: GateSettings
     entry: EntrySettings
     control: ControlSettings
+    holdings: HoldingSettings = HoldingSettings()
 
     @property
     def replica(self) -> ReplicaId:
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -35,6 +35,7 @@
     "service": "huvo11a",
     "max_attempts": 2,
 }
+SHARE = {"service": "huvo11a", "weight": 1}
 HEARTBEAT = {
     "service": "huvo11a",
     "address": "10.128.0.9:8080",
@@ -106,6 +107,7 @@
         b"[]",
         make_document(version="seven"),
         make_document({**PATH, "route_type": "sometimes"}),
+        make_document({**PATH, "service": "x", "weighted_clusters": [SHARE]}),
         make_document({**PATH, "timeout_s": None}),
         make_document({k: v for k, v in PATH.items() if k != "max_attempts"}),
     ],
@@ -239,6 +241,8 @@
 retry_budget_ratio = 0.2
 budget_window_s = 10
 exposure_share = 0.1
+memory_mb = 200
+max_fds = 4100
 never_heard_of = true
 """
 
@@ -251,6 +255,8 @@
     assert (settings.entry.retry_share, settings.entry.retry_slack) == (0.2, 56.0)
     assert settings.entry.retry_window_ms == 10_000.0
     assert settings.control.release_share == 0.1
+    assert settings.holdings.held_bytes == 40 * 1_048_576
+    assert settings.entry.connection_limit == 2_050
     assert settings.node.control_streams()[0] == Address("10.0.0.9", 7380)
 
 
