Ports for small messages log the client that they refuse

Cause: a body above a port's limit, or chunks that are too small, were answered without a log line, so that nothing named the client.

Change: caller_refused with peer and reason, as at the door for callers.

Measured: test_exchange, test_stop_exchanges, test_late_orders pass.

--- a/cicadawheel/http/exchange.py
+++ b/cicadawheel/http/exchange.py
@@ -367,6 +367,7 @@
                     connection, self._reader, self._body_limit_bytes, self.holding
                 )
         except h11.RemoteProtocolError as error:
+            log_event(log, "caller_refused", peer=self.peer, reason=str(error))
             answer = text_answer(f"{error}\n", error.error_status_hint)
             self._send(connection, answer)
             return False
