--- a/test/test_locality.py
+++ b/test/test_locality.py
@@ -76,6 +76,13 @@
     assert spared.share_away() <= heard.share_away() + 0.01
 
 
+def test_no_more_calls_leave_than_by_cost_where_near_upstreams_suffice():
+    fleets = [LocalityFleet(1), FleetByCost(1)]
+    for fleet in fleets:
+        fleet.run(0.2 * CAPACITY_PER_S, 4.0)
+    assert fleets[0].share_away() <= fleets[1].share_away()
+
+
 def test_calls_of_a_lost_data_centre_are_served_by_others_within_a_second():
     fleet = LocalityFleet(1)
     fleet.at(3_000.0, lambda now_ms: fleet.lose("d2", now_ms))
