--- a/cicadawheel/entry/placement.py
+++ b/cicadawheel/entry/placement.py
@@ -15,7 +15,7 @@
 from cicadawheel.entry.answer_size import INITIAL_ANSWER_BYTES
 from cicadawheel.entry.candidate import Candidate
 from cicadawheel.entry.group import Group, Usable
-from cicadawheel.entry.locality import Flows, NearState
+from cicadawheel.entry.locality import Flow, Flows, NearState
 from cicadawheel.entry.transfer import delayed_ms
 from cicadawheel.slowness import remaining_ms
 
@@ -183,44 +183,46 @@
     ) -> Candidate | None:
         """Select the candidate for a call, or None if none is usable."""
         options = _options(group, usable, profile)
-        if not options or not profile.target_ms:
-            return self._cheapest(options)
-        placed = self._placed(group, options, profile, now_ms)
-        if placed is not None:
-            return placed
-        return self._cheapest(_worth_leaving(options, profile))
+        if not options:
+            return None
+        if not profile.target_ms:
+            return self._cheapest(options).candidate
+        flow = self.flows.flow(group.used[0].member.service, profile.priority)
+        chosen = self._placed(flow, options, profile, now_ms)
+        if chosen is None:
+            chosen = self._cheapest(_worth_leaving(options, profile))
+        if profile.first:
+            flow.sent(chosen.far)
+        return chosen.candidate
 
     def _placed(
         self,
-        group: Group,
+        flow: Flow,
         options: list[Option],
         profile: CallProfile,
         now_ms: float,
-    ) -> Candidate | None:
+    ) -> Option | None:
         """Select a near upstream, or a far one with room; None if neither will do."""
         near = [option for option in options if not option.far]
         state, bearing = _near_state(near, profile)
-        flow = self.flows.flow(group.used[0].member.service, profile.priority)
         if profile.first:
             flow.record(state, now_ms)
         far = []
         if not flow.stays(state, self.random):
             far = [one for one in options if one.far and _has_room(one, profile)]
-        if profile.first:
-            flow.sent(bool(far))
         if far:
             rooms = [_room(option.candidate, profile) for option in far]
-            return self.random.choices(far, rooms)[0].candidate
+            return self.random.choices(far, rooms)[0]
         # Where the target leaves little to spare anywhere, a free slot near is as good.
         return self._cheapest(
             bearing or [one for one in near if _has_room(one, profile, 0.0)]
         )
 
-    def _cheapest(self, options: list[Option]) -> Candidate | None:
+    def _cheapest(self, options: list[Option]) -> Option | None:
         """Select one of those whose cost is about the lowest."""
         best_ms = min((option.cost_ms for option in options), default=math.inf)
         limit_ms = best_ms * TIE_FACTOR
-        tied = [option.candidate for option in options if option.cost_ms <= limit_ms]
+        tied = [option for option in options if option.cost_ms <= limit_ms]
         return self.random.choice(tied) if tied else None
 
 
--- a/test/test_locality.py
+++ b/test/test_locality.py
@@ -129,6 +129,16 @@
     assert 2.0 < counts["f3"] / counts["f7"] < 4.5
 
 
+def test_share_counts_all_first_attempts_that_leave():
+    router = make_router([make_member("n0"), make_member("f0", "d1")])
+    router.observe("n0", LONG, 0.0)
+    router.observe("f0", FULL, 0.0)
+    for _ in range(60):
+        router.pick("s", "", set(), 0.0, PROFILE)
+    (shown,) = router.report(0.0).flows
+    assert shown.share > 0.9
+
+
 def test_call_without_any_upstream_gets_none():
     assert make_router([]).pick("s", "", set(), 0.0, PROFILE) is None
 
