--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -12,7 +12,6 @@
     answer_fault,
     answer_refusal,
 )
-from cicadawheel.entry.answer_size import AnswerSizes
 from cicadawheel.entry.call import EntryCall
 from cicadawheel.entry.claim import ClaimClient
 from cicadawheel.entry.latency import Latencies
@@ -26,7 +25,7 @@
 from cicadawheel.entry.retry_after import retry_after_ms
 from cicadawheel.entry.router import Router, RouterReport
 from cicadawheel.entry.routes import RouteTable
-from cicadawheel.entry.transfer import LinkMeter
+from cicadawheel.entry.transfer import Transfers
 from cicadawheel.entry.versions import Pick, Versions
 from cicadawheel.gate.gate import Gate
 from cicadawheel.http.caller import CallerConnection
@@ -138,9 +137,7 @@
         self.caller_service = ServiceName("")
         self.repeats = Repeats(settings, router, clock)
         self.work_times = WorkTimes()
-        self.answer_sizes = AnswerSizes()
-        self.link = LinkMeter(link_mbps)
-        self.relayed_bytes = 0
+        self.transfers = Transfers(link_mbps)
         self._reserves: dict[ServiceName, SlotReserve] = {}
         self.latencies = Latencies()
         self.probe_limiter = ProbeLimiter()
@@ -161,9 +158,9 @@
             self.routes.configure(configuration)
         self.router.set_members(members, self.clock.now_ms())
         self.links.keep_only({member.node for member in members})
-        self._update_links()
+        self.update_links()
 
-    def _update_links(self) -> None:
+    def update_links(self) -> None:
         """Keep streams to the nodes in use only.
 
         Where gates push load reports, the streams are opened before the first call.
@@ -436,14 +433,11 @@
     ) -> CallProfile:
         reserve = self._reserves.get(plan.service)
         usable_part = 1.0 if reserve is None else reserve.usable_part(plan.priority)
-        answer_bytes = self.answer_sizes.usual_bytes(plan.route)
         return CallProfile(
             self.work_times.usual_ms(plan.route),
             body_bytes,
             usable_part,
-            answer_bytes,
-            transfer_ms=self.link.answer_ms(answer_bytes),
-            link_use=self.link.use,
+            *self.transfers.of_route(plan.route),
             target_ms=target_ms,
             priority=plan.priority,
             first=first,
@@ -456,22 +450,6 @@
         for call in list(self.calls):
             call.consider_hedge()
 
-    def watch_flows(self, now_ms: float) -> None:
-        """Log the flows that have changed, and use the far upstreams they need."""
-        for flow in self.router.flows.changes():
-            log_event(
-                log,
-                "flow_changed",
-                service=flow.service,
-                priority=flow.priority,
-                share=flow.share,
-                pressure=flow.pressure,
-                reason=flow.why,
-            )
-        if self.router.review_subsets():
-            self._update_links()
-        self.metrics.set_flow_gauges(self.router.flows.report(), self.link.use)
-
     def hedge_delay_ms(self, plan: CallPlan) -> float | None:
         """Return the delay after which a call is hedged, None if it never is."""
         quantile = plan.hedge_after_quantile
@@ -499,9 +477,8 @@
         """Deregister a call and count how it ended."""
         self.calls.discard(call)
         self.metrics.count_call(call.plan.service, end)
-        self.relayed_bytes += call.relayed_bytes
-        if end is CallEnd.ANSWERED and call.status < FIRST_SERVER_ERROR:
-            self.answer_sizes.add(call.plan.route, call.relayed_bytes)
+        good = end is CallEnd.ANSWERED and call.status < FIRST_SERVER_ERROR
+        self.transfers.add(call.plan.route, call.relayed_bytes, good)
         if not self.calls:
             self.idle.set()
 
@@ -531,5 +508,5 @@
             router=self.router.report(self.clock.now_ms()),
             retry_budgets=self.repeats.report(),
             quarantined=sorted(self.quarantined),
-            answer_bytes=self.answer_sizes.report(),
+            answer_bytes=self.transfers.sizes.report(),
         )
--- a/cicadawheel/entry/locality.py
+++ b/cicadawheel/entry/locality.py
@@ -24,9 +24,6 @@
 """Time constant of a falling pressure, several slow periods of VMs long, so that what
 comes back doesn't fill the near upstreams at once."""
 
-REPORT_INTERVAL_MS = 500.0
-"""Interval at which changes of the share sent away are looked for."""
-
 LEAVING_PRESSURE = 0.05
 """From this pressure on a service's calls count as leaving the data centre, ..."""
 
--- a/cicadawheel/entry/transfer.py
+++ b/cicadawheel/entry/transfer.py
@@ -3,6 +3,7 @@
 Does no I/O and reads no clock: byte counts are passed in with their time.
 """
 
+from cicadawheel.entry.answer_size import AnswerSizes
 from cicadawheel.timer import MS_PER_S
 
 BITS_PER_BYTE = 8
@@ -68,6 +69,32 @@
         return self.transfer_ms(answer_bytes)
 
 
+class Transfers:
+    """What an entry knows of the size of answers and of its VM's link.
+
+    Parameters
+    ----------
+    link_mbps : float
+        The rate of the link, 0 if it is unknown.
+    """
+
+    def __init__(self, link_mbps: float):
+        self.sizes = AnswerSizes()
+        self.link = LinkMeter(link_mbps)
+        self.relayed_bytes = 0
+
+    def add(self, route: str, relayed_bytes: int, good: bool) -> None:
+        """Record the bytes of an answer; ``good`` if it is complete and no error."""
+        self.relayed_bytes += relayed_bytes
+        if good:
+            self.sizes.add(route, relayed_bytes)
+
+    def of_route(self, route: str) -> tuple[float, float, float]:
+        """Return a route's answer size, its time on the idle link, and that's use."""
+        answer_bytes = self.sizes.usual_bytes(route)
+        return answer_bytes, self.link.answer_ms(answer_bytes), self.link.use
+
+
 def delayed_ms(transfer_ms: float, own_use: float, other_use: float) -> float:
     """Return the time of a transfer between two VMs, by the busier of their links."""
     return transfer_ms / max(MIN_FREE_SHARE, 1.0 - max(own_use, other_use))
--- a/cicadawheel/node/bandwidth.py
+++ b/cicadawheel/node/bandwidth.py
@@ -36,7 +36,7 @@
 
     def start(self, timers: TimerService) -> None:
         """Measure from now on, if the rate of the link is known."""
-        if self.entry.link.link_mbps:
+        if self.entry.transfers.link.link_mbps:
             timers.every(MEASURE_INTERVAL_MS, self.measure)
 
     def measure(self, now_ms: float) -> None:
@@ -44,7 +44,7 @@
         streams = [*self.links.streams(), *self.streams.open]
         sent_bytes = sum(stream.sent_bytes for stream in streams)
         received_bytes = sum(stream.received_bytes for stream in streams)
-        sent_bytes += self.entry.relayed_bytes
-        self.entry.link.update(sent_bytes, received_bytes, now_ms)
-        self.gate.link_use = self.entry.link.use
+        sent_bytes += self.entry.transfers.relayed_bytes
+        self.entry.transfers.link.update(sent_bytes, received_bytes, now_ms)
+        self.gate.link_use = self.entry.transfers.link.use
         self.gate.publisher.push()
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -14,8 +14,9 @@
 from cicadawheel.configuration import Configuration, Member
 from cicadawheel.control.lease import NodeLoad
 from cicadawheel.control.messages import ClaimAnswer, EvidenceReport, View
-from cicadawheel.entry import locality, peers
+from cicadawheel.entry import flow_watch, peers
 from cicadawheel.entry.entry import Entry, EntryReport
+from cicadawheel.entry.flow_watch import FlowWatch
 from cicadawheel.entry.peers import PeerLinks
 from cicadawheel.entry.probing import REPORT_COST_BYTES
 from cicadawheel.entry.router import Router
@@ -162,7 +163,7 @@
         self._announcement_filter = AnnouncementFilter()
         timers.every(MEASURE_INTERVAL_MS, self._measure)
         timers.every(HEDGE_INTERVAL_MS, self.entry.consider_hedges)
-        timers.every(locality.REPORT_INTERVAL_MS, self.entry.watch_flows)
+        timers.every(flow_watch.INTERVAL_MS, FlowWatch(self.entry).check)
         timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
         timers.every(caller.CHECK_INTERVAL_MS, self.entry.close_idle)
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
--- a/test/locality_fleet.py
+++ b/test/locality_fleet.py
@@ -5,7 +5,7 @@
 
 from news_fleet import TARGET_MS, WORK_MS, NewsFleet, make_member
 
-from cicadawheel.entry.locality import REPORT_INTERVAL_MS
+from cicadawheel.entry.flow_watch import INTERVAL_MS
 from cicadawheel.entry.placement import CallProfile
 from cicadawheel.messages import RefusalReason
 
@@ -46,7 +46,7 @@
         return self.draw.choice(entries)
 
     def run(self, calls_per_s, seconds):
-        self.at(REPORT_INTERVAL_MS, self.review)
+        self.at(INTERVAL_MS, self.review)
         return super().run(calls_per_s, seconds)
 
     def review(self, now_ms):
@@ -58,7 +58,7 @@
                         heard.remove(router)
                 for member in router.used_members():
                     self.listeners[member.node].append(router)
-        self.at(now_ms + REPORT_INTERVAL_MS, self.review)
+        self.at(now_ms + INTERVAL_MS, self.review)
 
     def _arrive(self, calls_per_s, now_ms):
         self.arrivals[int(now_ms / BUCKET_MS)] += 1
--- a/test/test_locality.py
+++ b/test/test_locality.py
@@ -17,6 +17,7 @@
 from test_placement import TARGET_MS, make_load, make_member, make_router
 
 from cicadawheel.entry import subset
+from cicadawheel.entry.flow_watch import FlowWatch
 from cicadawheel.entry.locality import Flow, NearState
 from cicadawheel.entry.placement import CallProfile
 
@@ -175,13 +176,14 @@
     async def work(site):
         entry = site.nodes[0].entry
         flow = entry.router.flows.flow("shop", 0)
-        entry.watch_flows(0.0)
+        watch = FlowWatch(entry)
+        watch.check(0.0)
         flow.record(NearState.FULL, 0.0)
         for _ in range(60):
             flow.sent(True)
         with caplog.at_level("INFO"):
-            entry.watch_flows(0.0)
-            entry.watch_flows(500.0)
+            watch.check(0.0)
+            watch.check(500.0)
         registry, labels = entry.metrics.registry, {"service": "shop", "priority": "0"}
         assert registry.get_sample_value("cicadawheel_away_share", labels) > 0.9
         (shown,) = entry.report().router.flows
--- a/test/test_transfer.py
+++ b/test/test_transfer.py
@@ -77,7 +77,7 @@
 def test_node_tells_of_the_bytes_that_answers_take(on_site):
     async def work(site):
         one, other = site.nodes
-        other.entry.link.link_mbps = MBPS
+        other.entry.transfers.link.link_mbps = MBPS
         watch = LinkWatch(other.entry, other.gate, other.links, other.peer_streams)
         watch.measure(0.0)
         for _ in range(4):
