Nested calls are never refused before they are sent

An entry that believed that a nested call couldn't meet its deadline refused it unsent, and the work of its outer request was lost with it.

Change: the estimate of room applies to requests of callers only.

--- a/cicadawheel/entry/admission.py
+++ b/cicadawheel/entry/admission.py
@@ -107,8 +107,11 @@
     ) -> RefusalReason | None:
         """Return the reason to refuse a call for which there is no room, or None.
 
-        ``left_ms`` is the time until its deadline.
+        ``left_ms`` is the time until its deadline. A nested call is always sent: its
+        refusal takes the work of its outer request with it.
         """
+        if plan.spent_ms:
+            return None
         state = self._state(plan.service)
         rank = plan.priority
         passed_ms = plan.deadline_ms - left_ms
@@ -123,9 +126,7 @@
         candidates = self.router.open_candidates(plan.service, now_ms)
         room = estimate_room(candidates, query, self.half_life_ms, now_ms)
         state.room = room
-        # A nested call that is refused takes the work of its outer request with it.
-        highest = state.demand.is_highest(rank) or plan.spent_ms > 0.0
-        reason = reason_to_refuse(room, query, highest)
+        reason = reason_to_refuse(room, query, state.demand.is_highest(rank))
         if reason is not None:
             self.metrics.count_entry_refusal(plan.service, reason)
             log_event(
