What two reviews found: calls of a lost connection, kept connections, and shares

Two readers who hadn't written the parts reported these by reading; none was reproduced. - A connection with requests ahead that was lost told their calls one after the other; a slot that the first one freed could refuse the next one, which then answered on an empty connection (IndexError), and the account kept its bytes. All end first now, the last one is told first, and the account and the entry are told whatever happens. - A request that was read and waits for its turn counts as unread bytes, so that a planned stop or a new connection doesn't close its connection. - A connection in use when its upstream changed or went silent isn't kept when it is released; a health check in flight then is dropped. - An owner that comes after its request has ended is told so; a cancelled health connection no longer hides its successor. - Only the first attempt of a call counts as demand of a flow; hedges counted 20 times a second. - Nested calls aren't refused as in vain; with a slack as the only budget tries are left to the gates; kinds of runs are bounded; an upstream that reports no slots isn't full.

Tried and taken back: queues that drain as their report ages (room.py). test_room.py failed (refusals of a burst, returns of those refused together), so stale full queues stay as a finding.

test_room, shedding, inner_calls, locality, entry_calls, entry_repeats, requests_ahead, run_order, caller_limits, silent_upstream, upstream_answers, planned_stop, holdings, entry_garbage, refused_pace pass.

--- a/cicadawheel/entry/admission.py
+++ b/cicadawheel/entry/admission.py
@@ -157,6 +157,8 @@
         That is known only of the service whose upstream this node has.
         """
         announced = gate.announcement
+        if plan.spent_ms:
+            return False
         if announced is None or announced.service != plan.service:
             return False
         kind = request_kind(plan.method, plan.target)
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -302,13 +302,15 @@
         only_at: NodeId,
         body_bytes: int = 0,
         target_ms: float = 0.0,
+        first: bool = True,
     ) -> Pick | None:
         """Select the upstream for the next attempt, or None.
 
         ``target_ms`` is the time left until the target, negative if it has passed.
+        ``first`` is set for the first attempt, which shows the demand.
         ``only_at``, if set, is the only node that may run the request.
         """
-        profile = self._profile(plan, body_bytes, target_ms, first=not tried)
+        profile = self._profile(plan, body_bytes, target_ms, first)
         now_ms = self.clock.now_ms()
         choice = self.versions.choose(plan.service, retry=bool(tried))
         if only_at:
--- a/cicadawheel/entry/next_attempt.py
+++ b/cicadawheel/entry/next_attempt.py
@@ -83,7 +83,10 @@
         # To queue at a gate that was busy may be better than any other gate.
         avoided = avoided - self.attempts.busy
         size_bytes, left_ms = len(self.body.beginning), self.target_left_ms()
-        return self.entry.pick(self.plan, avoided, self.only_at, size_bytes, left_ms)
+        first = not self.attempts.count
+        return self.entry.pick(
+            self.plan, avoided, self.only_at, size_bytes, left_ms, first
+        )
 
     def target_left_ms(self) -> float:
         """Return the time left until the target, negative if it has passed, or 0."""
--- a/cicadawheel/entry/owner.py
+++ b/cicadawheel/entry/owner.py
@@ -63,6 +63,7 @@
         only_at: NodeId,
         body_bytes: int = 0,
         target_ms: float = 0.0,
+        first: bool = True,
     ) -> Pick | None:
         """Select the upstream for the next attempt, or None."""
 
--- a/cicadawheel/entry/tries.py
+++ b/cicadawheel/entry/tries.py
@@ -45,5 +45,8 @@
     share_up_to : float
         The share of the requests with this priority or a higher one.
     """
+    if not budget_share:
+        # The slack alone is the budget; its gates know what is left of it.
+        return True
     tries = sum(shed_share**number for number in range(1, attempts))
     return share_up_to * tries <= budget_share
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -134,6 +134,8 @@
         self.announcement = announcement
         if before is not None and before.boot != announcement.boot:
             self.pool.close_idle_connections()
+            if self._health is not None:
+                self._health.close()
             self.guard.upstream_restarted()
         address = Address(announcement.host, announcement.port)
         self.pool.retarget(address, announcement.connections)
--- a/cicadawheel/gate/health.py
+++ b/cicadawheel/gate/health.py
@@ -203,7 +203,8 @@
             self._polled_at_ms = None
             return
         finally:
-            self._connecting = None
+            if self._connecting is asyncio.current_task():
+                self._connecting = None
         self._own = connection
         self._send(connection)
 
--- a/cicadawheel/gate/inner_calls.py
+++ b/cicadawheel/gate/inner_calls.py
@@ -25,6 +25,10 @@
 """The half-life of the counts; no run is tried for about this long at most."""
 
 
+KINDS_KEPT = 32
+"""Most kinds that are kept, as callers choose the paths that tell them apart."""
+
+
 class _Share(msgspec.Struct):
     count: float = 0.0
     bad: float = 0.0
@@ -56,6 +60,10 @@
 
     def call_ended(self, kind: str, refused: bool, now_ms: float) -> None:
         """Record how a call ended that a run of this kind made."""
+        if kind not in self._calls and len(self._calls) >= KINDS_KEPT:
+            oldest = min(self._calls, key=lambda one: self._calls[one].at_ms)
+            del self._calls[oldest]
+            self._runs.pop(oldest, None)
         self._calls.setdefault(kind, _Share()).add(refused, now_ms)
 
     def run_ended(self, kind: str, failed: bool, now_ms: float) -> None:
--- a/cicadawheel/gate/shedding.py
+++ b/cicadawheel/gate/shedding.py
@@ -39,7 +39,7 @@
         told = self._told
         if told is None or now_ms - self._told_at_ms > TOLD_VALID_MS:
             return False
-        return told.in_flight + told.queued > told.slots
+        return 0 < told.slots < told.in_flight + told.queued
 
     def ended(self, result: Result, now_ms: float) -> None:
         """Record how a request ended that was sent to the upstream."""
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -191,10 +191,12 @@
         self._transport = None
         self.writable = True
         self.state = ConnectionState.CLOSED
-        self._lose_behind(0)
-        if self._holding is not None:
-            self._holding.release()
-        self.service.connection_closed(self)
+        try:
+            self._lose_behind(0)
+        finally:
+            if self._holding is not None:
+                self._holding.release()
+            self.service.connection_closed(self)
 
     def pause_holding(self) -> None:
         """Read nothing until the account has room again."""
@@ -265,11 +267,17 @@
         """
         if self._transport is None or self.state is not ConnectionState.IDLE:
             return False
-        if self.unsent_bytes() or has_unread_bytes(self._transport):
+        if self.unsent_bytes() or self._has_unread_bytes():
             return False
         self._close()
         return True
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes of a request have arrived that aren't read yet."""
+        if self._turn_pending or self._http.trailing_data[0]:
+            return True
+        return has_unread_bytes(self._transport)
+
     def closes_after(self, request: CallerRequest) -> bool:
         """Return whether the connection closes after the answer to a request."""
         return self.closing and request is self._requests[-1]
@@ -402,8 +410,12 @@
         lost = [self._requests.pop() for _ in range(len(self._requests) - place)]
         if lost and self._transport is not None:
             log_event(log, "requests_not_answered", peer=self.peer, count=len(lost))
-        for request in reversed(lost):
-            request.lose()
+        # All end before the first call is told, and the last one is told first: a slot
+        # that it frees must not go to another one that ends.
+        owners = [request.end_unanswered() for request in lost]
+        for owner in owners:
+            if owner is not None:
+                owner.caller_lost()
 
     def _finish_first(self) -> bool:
         """Remove the first request, whose answer is sent; return False at the end."""
@@ -450,7 +462,9 @@
         """Close the connection if it has no call, unless bytes of a request arrived."""
         if not self._closes_when_idle or self.state is not ConnectionState.IDLE:
             return
-        if self._transport is not None and not has_unread_bytes(self._transport):
+        if self._transport is None or self._turn_pending:
+            return
+        if not has_unread_bytes(self._transport):
             self._close()
 
     def _linger(self, last: CallerRequest) -> None:
@@ -603,6 +617,8 @@
         owner = self.service.begin_call(request, head)
         if not request.answered:
             request.owner = owner
+        elif owner is not None:
+            owner.caller_lost()
 
     def _refuse_head(self, request: CallerRequest, status: int, reason: str) -> None:
         log_event(log, "caller_refused", peer=self.peer, reason=reason)
--- a/cicadawheel/http/caller_request.py
+++ b/cicadawheel/http/caller_request.py
@@ -214,13 +214,12 @@
             self._end()
             self._connection.cut(self)
 
-    def lose(self) -> None:
-        """End the call without an answer."""
+    def end_unanswered(self) -> CallOwner | None:
+        """End the request without an answer, and return the owner of its call."""
         owner = self.owner
         self.kept.clear()
         self._end()
-        if owner is not None:
-            owner.caller_lost()
+        return owner
 
     def send_continue(self) -> None:
         """Ask for the body, if the caller waits for that."""
--- a/cicadawheel/http/upstream.py
+++ b/cicadawheel/http/upstream.py
@@ -103,6 +103,7 @@
         self.wrote_request = False
         self.refused_requests: set[RequestId] = set()
         self.carried_health_check = False
+        self.generation = 0
         self._released = released
         self._http = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
@@ -415,6 +416,7 @@
         self._open: set[UpstreamConnection] = set()
         self._connecting: set[asyncio.Task] = set()
         self._closing = False
+        self._generation = 0
 
     def retarget(self, address: Address, limit: int) -> None:
         """Set the address and the limit; a new address closes idle connections."""
@@ -424,7 +426,8 @@
             self.close_idle_connections()
 
     def close_idle_connections(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and those in use when they are released."""
+        self._generation += 1
         idle, self._idle = self._idle, []
         for connection in idle:
             connection.close()
@@ -480,6 +483,7 @@
 
     async def _connect(self, owner: ExchangeOwner) -> None:
         loop = asyncio.get_running_loop()
+        generation = self._generation
         try:
             async with asyncio.timeout(self.connect_timeout_ms / MS_PER_S):
                 _, connection = await loop.create_connection(
@@ -491,6 +495,7 @@
             owner.exchange_failed(ExchangeEnd.UNREACHABLE)
             return
         self._open.add(connection)
+        connection.generation = generation
         connection.owner = owner
         owner.connected(connection)
 
@@ -498,6 +503,8 @@
         """Return whether a released connection should stay in the pool."""
         if len(connection.refused_requests) > REFUSED_REQUEST_LIMIT:
             return False
+        if connection.generation != self._generation:
+            return False
         return len(self._open) <= self.limit
 
     def _release(self, connection: UpstreamConnection) -> None:
