Hedges keep their part of the retry budget unless nested calls were refused

Any repeat of a nested call, also one made by a hedged run, took two thirds of the hedges' part for 10 s, though nothing was refused.

Change: the parts hold only after a nested call that was refused is sent once more.

--- a/cicadawheel/gate/repeat_need.py
+++ b/cicadawheel/gate/repeat_need.py
@@ -16,7 +16,7 @@
 requests that failed or were refused."""
 
 NESTED_ASK_MS = 10_000.0
-"""For how long after its latest repeat the parts below are kept for nested calls."""
+"""How long the parts below hold after a refused nested call was sent once more."""
 
 SHARED_HEDGE_PART = 0.25
 """The part for hedges while nested calls need repeats: nothing is lost without them."""
@@ -59,8 +59,8 @@
 class RepeatNeeds:
     """Ranks the repeats at one gate.
 
-    Until a nested call asks for a repeat, only hedges are limited to a part, and
-    requests of a higher priority than any such call never are.
+    Until a nested call that was refused asks for a repeat, only hedges are limited to
+    a part, and requests of a higher priority than any such call never are.
     """
 
     def __init__(self):
@@ -71,7 +71,7 @@
         """Record a request, before its part is asked for."""
         if not call.spent_ms:
             return
-        if call.repeat not in (Repeat.FIRST, Repeat.SPARE):
+        if call.repeat is Repeat.REFUSED:
             self._nested_until_ms[call.priority] = now_ms + NESTED_ASK_MS
         gap_ms = call.spent_ms - self._usual_spent_ms
         self._usual_spent_ms += SPENT_SAMPLE_WEIGHT * gap_ms
