--- a/test/test_ui_events.py
+++ b/test/test_ui_events.py
@@ -6,7 +6,11 @@
 import pytest
 
 from cicadawheel.control.metrics import ControlMetrics
+from cicadawheel.holding_metrics import register_holdings
+from cicadawheel.holdings import Holdings
 from cicadawheel.metrics import NodeMetrics
+from cicadawheel.settings import HoldingSettings
+from cicadawheel.timer import SystemClock
 
 ROOT = Path(__file__).parent.parent
 CATALOGUE = (ROOT / "docs" / "operators" / "events.md").read_text()
@@ -42,6 +46,7 @@
 
 def metric_families():
     for metrics in (NodeMetrics(), ControlMetrics()):
+        register_holdings(metrics.registry, Holdings(HoldingSettings(), SystemClock()))
         yield from metrics.registry.collect()
 
 
