--- a/review/second/actors.py
+++ b/review/second/actors.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import time
 
 from second.web import ask, encode, read_message
@@ -23,6 +24,8 @@
         self.name = f"i-{service}-{place}"
         self.born_ms = int(time.time() * 1_000)
         self.ran = []
+        self.declined_share = 0.0
+        self.declined = 0
         self._running = 0
         self._sequence = 0
         self._tasks = []
@@ -84,6 +87,11 @@
         echo = {"Attempt-Id": attempt, **own}
         if request.headers.get("target-instance", self.name) != self.name:
             return encode("HTTP/1.1 421 Misdirected Request", echo)
+        if random.random() < self.declined_share:
+            self.declined += 1
+            self.record.note(f"{self.name} declines {attempt}")
+            fields = {**echo, "Not-Executed": "1"}
+            return encode("HTTP/1.1 503 Service Unavailable", fields)
         self.ran.append((attempt, method, target))
         host = request.headers.get("host")
         self.record.note(f"{self.name} runs {attempt} {method} {host}{target}")
