--- a/review/second/web.py
+++ b/review/second/web.py
@@ -17,14 +17,25 @@
         return int(self.words[1])
 
 
-async def read_message(reader):
-    """Return the next message, or None at the end of the connection."""
+async def read_head(reader):
+    """Return the head of the next message, or None at the end of the connection."""
     head = b""
     while not head.endswith(b"\r\n\r\n"):
         line = await reader.readline()
         if not line:
             return None
         head += line
+    return head
+
+
+async def read_message(reader, head=None):
+    """Return the next message, or None at the end of the connection.
+
+    ``head`` is its head, if that has been read already.
+    """
+    head = head or await read_head(reader)
+    if head is None:
+        return None
     first_line, *lines = head.decode("latin-1").rstrip("\r\n").split("\r\n")
     pairs = (line.partition(":") for line in lines)
     headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
