--- a/review/second/actors.py
+++ b/review/second/actors.py
@@ -24,11 +24,13 @@
         self.name = f"i-{service}-{place}"
         self.born_ms = int(time.time() * 1_000)
         self.ran = []
+        self.version = "v1"
         self.declined_share = 0.0
         self.declined = 0
-        self._running = 0
+        self.running = 0
         self._sequence = 0
         self._tasks = []
+        self._writers = set()
         self._server = None
 
     async def start(self):
@@ -42,6 +44,13 @@
             task.cancel()
         self._server.close()
 
+    async def crash(self):
+        """Stop at once, with all connections reset."""
+        await self.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self.record.note(f"{self.name} crashes with {self.running} requests")
+
     async def beat(self, state="ready"):
         """Send one heartbeat; return whether it was acknowledged."""
         self._sequence += 1
@@ -49,7 +58,7 @@
             "service": self.service,
             "address": f"{self.ip}:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "cold_remaining_s": 0,
@@ -68,14 +77,16 @@
             await asyncio.sleep(BEAT_S)
 
     def _load(self):
-        return f"{self._running},0,{self.slots},100"
+        return f"{self.running},0,{self.slots},100"
 
     async def _serve(self, reader, writer):
         ended = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        self._writers.add(writer)
         with contextlib.suppress(*ended):
             while (request := await read_message(reader)) is not None:
                 writer.write(await self._answer(request))
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, request):
@@ -95,9 +106,9 @@
         self.ran.append((attempt, method, target))
         host = request.headers.get("host")
         self.record.note(f"{self.name} runs {attempt} {method} {host}{target}")
-        self._running += 1
+        self.running += 1
         await asyncio.sleep(self.work_s)
-        self._running -= 1
+        self.running -= 1
         seal = {"Server-Seal": f"seal.{self.name}.{attempt}"}
         return encode("HTTP/1.1 200 OK", {**echo, **seal}, b"done\n")
 
