Requests run without a route once the last one is removed

Cause: Entry._plan took an empty table of routes for a deployment whose calls name their service. Excluded: a node with an older configuration, as the path that was run after the change had got 404 before it.

The configuration now says how calls are routed. The same cause on a related path: an order for a data centre before the first document made nodes ready and answer 404; they refuse with 503 until there are rules.

--- a/cicadawheel/answers/generator.py
+++ b/cicadawheel/answers/generator.py
@@ -15,6 +15,7 @@
     ReleaseHabits,
     RepeatRule,
     RouteRule,
+    Routing,
     ServiceRule,
 )
 from cicadawheel.ids import DataCentreName
@@ -46,6 +47,7 @@
             probes_per_s=answers.measuring.probes_per_s,
             bytes_per_s=answers.measuring.bytes_per_s,
         ),
+        routing=Routing.BY_SERVICE,
     )
 
 
--- a/cicadawheel/configuration.py
+++ b/cicadawheel/configuration.py
@@ -47,6 +47,14 @@
     STOPPED = "stopped"
 
 
+class Routing(Enum):
+    """How the service of a call is found; ``UNSET`` until rules have been applied."""
+
+    UNSET = "unset"
+    BY_SERVICE = "by service"
+    BY_HOST = "by host"
+
+
 class RouteRule(msgspec.Struct, frozen=True):
     """The rules for requests that match a method and a path prefix."""
 
@@ -176,8 +184,8 @@
 class Configuration(msgspec.Struct, frozen=True):
     """All settings that operators control, at one revision.
 
-    Calls are routed by host and path if ``routes`` is not empty, and by service name
-    otherwise.
+    ``routes`` apply to calls that are routed by host and path; without any, no such
+    call has a route. Other calls name their service. See `call_routing`.
     """
 
     revision: Revision = Revision(0)
@@ -188,6 +196,25 @@
     measuring: MeasuringBudget = MeasuringBudget()
     routes: dict[RouteName, HostRoute] = {}
     callers: CallerLimits = CallerLimits()
+    routing: Routing = Routing.UNSET
+
+    def call_routing(self) -> Routing:
+        """Return how calls are routed.
+
+        Earlier versions did not store it; it then follows from the rules.
+        """
+        if self.routing is not Routing.UNSET:
+            return self.routing
+        if self.routes:
+            return Routing.BY_HOST
+        return Routing.BY_SERVICE if self.services else Routing.UNSET
+
+    def has_rules(self) -> bool:
+        """Return whether rules were applied, possibly without any service or route.
+
+        Orders that come before them, such as for a data centre, have a revision too.
+        """
+        return bool(self.revision) and self.call_routing() is not Routing.UNSET
 
     def is_withdrawn(self, service: ServiceName, version: VersionName) -> bool:
         """Return whether a version of a service was taken back."""
--- a/cicadawheel/configuration_delta.py
+++ b/cicadawheel/configuration_delta.py
@@ -12,6 +12,7 @@
     HostRoute,
     MeasuringBudget,
     ReleaseRule,
+    Routing,
     ServiceRule,
     Withdrawal,
 )
@@ -21,7 +22,8 @@
 class ConfigurationDelta(msgspec.Struct, frozen=True, array_like=True):
     """The changes from one configuration to a newer one.
 
-    ``withdrawn``, ``measuring`` and ``callers`` are None if they are unchanged.
+    ``withdrawn``, ``measuring``, ``callers`` and ``routing`` are None if they are
+    unchanged.
     """
 
     revision: Revision
@@ -36,6 +38,7 @@
     routes: tuple[HostRoute, ...] = ()
     routes_gone: tuple[RouteName, ...] = ()
     callers: CallerLimits | None = None
+    routing: Routing | None = None
 
 
 def make_delta(old: Configuration, new: Configuration) -> ConfigurationDelta:
@@ -55,6 +58,7 @@
         routes=_changed(old.routes, new.routes),
         routes_gone=_removed(old.routes, new.routes),
         callers=None if old.callers == new.callers else new.callers,
+        routing=None if old.routing is new.routing else new.routing,
     )
 
 
@@ -74,6 +78,7 @@
         measuring=old.measuring if delta.measuring is None else delta.measuring,
         routes=_merge(old.routes, delta.routes, delta.routes_gone),
         callers=old.callers if delta.callers is None else delta.callers,
+        routing=old.routing if delta.routing is None else delta.routing,
     )
 
 
--- a/cicadawheel/control/state/changes.py
+++ b/cicadawheel/control/state/changes.py
@@ -9,6 +9,7 @@
     DataCentreRule,
     DataCentreState,
     Member,
+    Routing,
     ServiceRule,
 )
 from cicadawheel.control.command import (
@@ -124,8 +125,10 @@
     releases = tuple(
         release for release in current.releases if release.service in services
     )
+    routing = wanted.call_routing()
     merged = replace(
         wanted,
+        routing=Routing.BY_SERVICE if routing is Routing.UNSET else routing,
         revision=current.revision,
         services=services,
         data_centres=data_centres,
--- a/cicadawheel/control/state/machine.py
+++ b/cicadawheel/control/state/machine.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cicadawheel.configuration import Configuration, Member, ReleaseState
+from cicadawheel.configuration import Configuration, Member, ReleaseState, Routing
 from cicadawheel.control.command import (
     AdvanceRelease,
     AnyCommand,
@@ -131,6 +131,8 @@
         self.claims.restore(snapshot.claims)
         self.quarantine.restore(snapshot.quarantined)
         self.documents.restore(snapshot.documents)
+        if snapshot.documents.document:
+            self.configuration = _routed_by_host(self.configuration)
 
     def _apply_operation(self, index: LogIndex, command: OperatorCommand) -> Outcome:
         first = self._operations.find(command)
@@ -182,7 +184,8 @@
         if result is DocumentOutcome.ACCEPTED:
             self.documents.accept(command)
             members = self.members.values()
-            rules = apply_rules(self.configuration, command.configuration, members)
+            wanted = _routed_by_host(command.configuration)
+            rules = apply_rules(self.configuration, wanted, members)
             self._put_configuration(index, rules)
             change = Change(self.configuration.revision, OperationId(""), text)
             self._operations.add_change(change)
@@ -290,6 +293,11 @@
     return ControlState(claim_window_ms)
 
 
+def _routed_by_host(configuration: Configuration) -> Configuration:
+    """Return a document's rules as calls are routed by them, also without a route."""
+    return msgspec.structs.replace(configuration, routing=Routing.BY_HOST)
+
+
 def _fenced_error(node: NodeId, epoch: int) -> CommandRefusedError:
     return CommandRefusedError(
         f"epoch {epoch} of node {node} is not its last registration",
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cicadawheel.configuration import CallerLimits, Configuration, Member
+from cicadawheel.configuration import CallerLimits, Configuration, Member, Routing
 from cicadawheel.entry.admission import EntryAdmission, EntryAdmissionReport
 from cicadawheel.entry.answer import (
     Answer,
@@ -236,7 +236,7 @@
             self.metrics.requests_ahead.inc()
         named = find_field(request.headers, self.dialect.request_id) or b""
         request_id = named.decode("latin-1")
-        if not self.configuration.revision:
+        if not self.configuration.has_rules():
             refuse_without_view(
                 connection, request_id, self.node, self.dialect, self.router.random
             )
@@ -269,7 +269,7 @@
         return call
 
     def _plan(self, request: RequestHead) -> CallPlan | CallerFault:
-        if self.configuration.routes:
+        if self.configuration.call_routing() is Routing.BY_HOST:
             return plan_by_host(request, self.routes, self.dialect)
         return plan_call(request, self.configuration, self.settings, self.dialect)
 
--- a/cicadawheel/gate/gate.py
+++ b/cicadawheel/gate/gate.py
@@ -343,7 +343,7 @@
 
     def _reason_to_refuse(self, call: CallOpen) -> RefusalReason | None:
         announced = self.announcement
-        if not self.configuration.revision:
+        if not self.configuration.has_rules():
             return RefusalReason.NO_VIEW
         if announced is None:
             return RefusalReason.NO_UPSTREAM
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -231,7 +231,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the node has a configuration and is not draining."""
-        return bool(self.control.view.configuration.revision) and not self.draining
+        return self.control.view.configuration.has_rules() and not self.draining
 
     def reload(self, settings: Settings) -> None:
         """Apply the settings that may change at run time."""
