Limits that allow no repeat are taken for no limits

retry_budget says which budget is in use; the platform's template sets it to shared. Settings with a share or a slack above 0 mean what they did.

test_bounds_that_allow_no_repeat_are_a_shared_budget_of_nothing failed before: has_retry_budget was False.

--- a/cicadawheel/settings.py
+++ b/cicadawheel/settings.py
@@ -110,6 +110,7 @@
     depth_limit: Positive = 8
     default_deadline_ms: PositiveMs = 10_000.0
     connect_timeout_ms: PositiveMs = 250.0
+    retry_budget: Annotated[str, msgspec.Meta(pattern="^(own|shared)$")] = "own"
     retry_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     retry_window_ms: PositiveMs = 10_000.0
@@ -121,7 +122,8 @@
     @property
     def has_retry_budget(self) -> bool:
         """Whether repeats are limited by a budget that all nodes share."""
-        return bool(self.retry_share or self.retry_slack)
+        is_shared = self.retry_budget == "shared"
+        return is_shared or bool(self.retry_share or self.retry_slack)
 
 
 class HoldingSettings(msgspec.Struct, frozen=True):
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -1,5 +1,7 @@
 """Decoding of the platform's documents, heartbeats, load headers and settings."""
 
+from pathlib import Path
+
 import msgspec
 import pytest
 
@@ -10,12 +12,14 @@
     ServiceShare,
 )
 from cicadawheel.errors import SettingsError
+from cicadawheel.gate.repeat_budget import RepeatBudget
 from cicadawheel.platform.document import decode_document
 from cicadawheel.platform.headers import decode_load
 from cicadawheel.platform.heartbeats import decode_deregistration, decode_heartbeat
 from cicadawheel.platform.settings import load_platform_settings
 from cicadawheel.settings import Address
 
+DEPLOY = Path(__file__).parent.parent / "deploy"
 HABITS = ReleaseHabits()
 SERVICE = {
     "name": "huvo11a",
@@ -260,6 +264,24 @@
     assert settings.node.control_streams()[0] == Address("10.0.0.9", 7380)
 
 
+# Guards against repeats on an allowance of each node where the platform allows none.
+def test_bounds_that_allow_no_repeat_are_a_shared_budget_of_nothing(tmp_path):
+    template = (DEPLOY / "node.ini").read_text()
+    own, _, _ = template.partition("[bounds]")
+    text = SETTINGS.replace("budget_slack = 56", "budget_slack = 0")
+    text = text.replace("retry_budget_ratio = 0.2", "retry_budget_ratio = 0")
+    entry = own[own.index("[entry]") :]
+    path = tmp_path / "node.ini"
+    path.write_text(text.replace("[bounds]", f"{entry}\n[bounds]"))
+    settings = load_platform_settings(path).entry
+    assert (settings.retry_share, settings.retry_slack) == (0.0, 0.0)
+    assert settings.has_retry_budget
+    budget = RepeatBudget(0.0, 0.0, settings.retry_window_ms, 0.0)
+    for now_ms in range(0, 60_000, 10):
+        budget.request_sent(now_ms)
+        assert not budget.allows(now_ms)
+
+
 def test_malformed_settings_file_is_refused(tmp_path):
     path = tmp_path / "node.ini"
     path.write_text("node_name: x\n- y\n")
