A node hangs once a request of a route with very many attempts is declined

Cause: covers_tries summed a term for each attempt that the route allows, on the event loop. A request is dispatched five times at most, so the sum ends there; for routes with up to five attempts it is what it was.

--- a/cicadawheel/entry/tries.py
+++ b/cicadawheel/entry/tries.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from cicadawheel.entry.candidate import Candidate
+from cicadawheel.entry.retry import DISPATCH_LIMIT
 
 
 def mean_shed_share(
@@ -41,12 +42,13 @@
     shed_share : float
         The chance that a try is declined.
     attempts : int
-        The attempts that a request may have.
+        The attempts that a request may have; no more than `DISPATCH_LIMIT` are made.
     share_up_to : float
         The share of the requests with this priority or a higher one.
     """
     if not budget_share:
         # The slack alone is the budget; its gates know what is left of it.
         return True
-    tries = sum(shed_share**number for number in range(1, attempts))
+    retries = min(attempts, DISPATCH_LIMIT) - 1
+    tries = sum(shed_share**number for number in range(1, retries + 1))
     return share_up_to * tries <= budget_share
--- a/test/test_shedding.py
+++ b/test/test_shedding.py
@@ -166,6 +166,21 @@
     assert admission.may_try_elsewhere(nested, BUDGET_SHARE, now_ms)
 
 
+# Guards against a node that hangs once a request of a route with very many attempts is
+# declined.
+@pytest.mark.timeout(5)
+def test_decision_after_a_decline_takes_no_longer_with_more_attempts():
+    fleet = SheddingFleet(1, by_priority=True)
+    admission, now_ms = fleet.admissions[0], 1_000.0
+    for gate in [*range(GATES)] * 20:
+        fleet._ended(gate, Result.SHED, now_ms)
+    plans = [make_plan(make_call_of(rank, rank, now_ms), now_ms) for rank in (0, 1)]
+    for plan in plans:
+        admission.call_began(plan, now_ms)
+    unlimited = replace(plans[1], attempts=2**31 - 1)
+    assert not admission.may_try_elsewhere(unlimited, BUDGET_SHARE, now_ms)
+
+
 def test_full_upstream_is_told_from_a_faulty_one_by_its_own_report():
     shedding = Shedding()
     assert not shedding.is_full(0.0)
