--- a/test/test_routes.py
+++ b/test/test_routes.py
@@ -71,6 +71,19 @@
     assert table.find(host, target) is None
 
 
+# Guards against nodes that spend milliseconds on each request of a large document.
+@pytest.mark.timeout(10)
+def test_request_takes_no_longer_with_more_routes_and_shares():
+    shares = [(f"s{i}", 1.0) for i in range(20_000)] * 5
+    routes = [make_route("h", f"/{i}/", shares[:1]) for i in range(20_000)]
+    table = make_table(*routes, make_route("h", "/", shares))
+    for i in range(20_000):
+        assert table.find("h", f"/{i}/x").path_prefix == f"/{i}/"
+    split = table.find("h", "/x")
+    services = Counter(table.choose_service(split) for _ in range(40_000))
+    assert set(services.values()) == {2}
+
+
 def test_split_keeps_the_weights_in_any_short_run():
     route = make_route("h", "/", [("a", 90.0), ("b", 10.0)])
     table = make_table(route)
@@ -85,6 +98,20 @@
     assert {table.choose_service(route) for _ in range(50)} == {"a"}
 
 
+def test_service_that_is_named_twice_gets_both_shares():
+    route = make_route("h", "/", [("a", 1.0), ("b", 2.0), ("a", 1.0)])
+    table = make_table(route)
+    services = Counter(table.choose_service(route) for _ in range(100))
+    assert services == {"a": 50, "b": 50}
+
+
+@pytest.mark.parametrize("weight", [1e-300, 1e-9, 2.0**53])
+def test_split_of_very_unequal_weights_serves_the_larger(weight):
+    route = make_route("h", "/", [("a", weight), ("b", 1.0)])
+    services = Counter(make_table(route).choose_service(route) for _ in range(100))
+    assert services["a" if weight > 1.0 else "b"] >= 99
+
+
 def test_split_keeps_its_state_when_other_routes_change():
     route = make_route("h", "/", [("a", 1.0), ("b", 1.0)])
     table = make_table(route)
