Calls end with an error once an upstream was ejected 1,024 times in a row

An upstream that is registered and fails for nine hours gets there; each failed call to it then raised OverflowError instead of being sent elsewhere.

test_upstream_that_fails_for_a_day_is_ejected_each_time failed before with OverflowError: int too large to convert to float.

--- a/cicadawheel/entry/ejection.py
+++ b/cicadawheel/entry/ejection.py
@@ -10,6 +10,8 @@
 FIRST_EJECTION_MS = 1_000.0
 MAX_EJECTION_MS = 30_000.0
 EJECTED_SHARE_LIMIT = 0.5
+DOUBLINGS_MAX = 5
+"""After so many, an ejection lasts `MAX_EJECTION_MS`."""
 RECOVERY_RAMP_MS = 2_000.0
 INITIAL_TRUST = 0.2
 ANSWER_WEIGHT = 1
@@ -76,7 +78,8 @@
         if len(ejected) + 1 > group_size * EJECTED_SHARE_LIMIT:
             return False
         ejected.add(member.node)
-        length_ms = min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2**record.times)
+        doublings = min(DOUBLINGS_MAX, record.times)
+        length_ms = min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2**doublings)
         record.until_ms = now_ms + length_ms
         record.times += 1
         record.faults = 0
--- a/test/test_router.py
+++ b/test/test_router.py
@@ -181,6 +181,14 @@
     assert pick_many(router, 40, later_ms, hold=True)["n0"] >= 8
 
 
+# Guards against calls that end with an error once an upstream has failed for hours: its
+# number of ejections is an exponent.
+def test_upstream_that_fails_for_a_day_is_ejected_each_time():
+    router = make_router([make_member(0), make_member(1)])
+    for now_ms in range(0, 86_400_000, 60_000):
+        assert router.refused("n0", RefusalReason.PEER_LOST, float(now_ms))
+
+
 def test_at_most_half_of_the_upstreams_are_ejected():
     router = make_router([make_member(i) for i in range(4)])
     ejected = [router.refused(f"n{i}", RefusalReason.PEER_LOST, 0.0) for i in range(4)]
