Priorities without requests stay in the account of reserved slots

They are forgotten once their count has decayed to 0.01, after some twenty seconds; Demand does the same.

test_priorities_without_requests_are_forgotten failed before with 1000 == 1.

--- a/cicadawheel/reserve.py
+++ b/cicadawheel/reserve.py
@@ -19,6 +19,9 @@
 HALF_LIFE_S = 3.0
 """The half-life of the request counts."""
 
+FORGOTTEN_COUNT = 0.01
+"""Priorities without a request for some twenty seconds are forgotten."""
+
 
 class SlotReserve:
     """Limits the slots that requests of each priority may use.
@@ -54,5 +57,8 @@
         passed_s = (now_ms - self._at_ms) / MS_PER_S
         self._at_ms = now_ms
         kept = 0.5 ** (passed_s / HALF_LIFE_S)
-        for rank in self._counts:
-            self._counts[rank] *= kept
+        self._counts = {
+            priority: count * kept
+            for priority, count in self._counts.items()
+            if count * kept >= FORGOTTEN_COUNT
+        }
