Uploads in small chunks get 413, far below the limit

Orders for control in such chunks were always refused.

Cause: a limit against crowds of such bodies counts bodies, four at a time in a process. What has to be limited is the work of the parser, about 6 us a chunk.

Such bodies are now read in turns of 200 chunks, one turn at a time with a pause after it, and the body that has had the fewest chunks is next. None is refused. A body that waits is read on up to 64 KiB, so that the end of its connection is noticed.

test_small_chunks.py failed before: 413 for uploads and orders in chunks of 1 and 10 bytes, alone and beside 50 clients that send single bytes without end.

--- a/cicadawheel/holdings.py
+++ b/cicadawheel/holdings.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import Protocol
 
+from cicadawheel.http.pieces import PieceTurns
 from cicadawheel.logs import log_event
 from cicadawheel.settings import HoldingSettings
 from cicadawheel.timer import MS_PER_S, Clock
@@ -27,9 +28,6 @@
 """
 STALLED_MS = 1_000.0
 """A client that has sent or taken nothing for this long is ended before others."""
-SMALL_PIECES_BODIES = 4
-"""How many bodies at a time may be sent in tiny chunks, each of which costs a turn of
-the parser."""
 ORDINARY_BYTES = 16_384
 """A holder of no more than this is never ended for the sake of others."""
 
@@ -164,7 +162,7 @@
         self.total_bytes = 0
         self.ended: Counter[EndReason] = Counter()
         self._open: dict[Holding, None] = {}
-        self._in_small_pieces: set[Holding] = set()
+        self.piece_turns = PieceTurns()
 
     def open(self, kind: HoldingKind, peer: str, holder: Holder) -> Holding:
         """Return a new holding, with nothing held yet."""
@@ -180,16 +178,6 @@
         share = END_SHARE if has_body else 1.0
         return self.total_bytes < share * self.settings.held_bytes
 
-    def admits_small_pieces(self, holding: Holding) -> bool:
-        """Return whether a body in tiny chunks is read on."""
-        if len(self._in_small_pieces) < SMALL_PIECES_BODIES:
-            self._in_small_pieces.add(holding)
-        return holding in self._in_small_pieces
-
-    def body_ended(self, holding: Holding) -> None:
-        """Let another body in tiny chunks take the place of an ended one."""
-        self._in_small_pieces.discard(holding)
-
     def bytes_by_kind(self) -> dict[HoldingKind, int]:
         """Return the sum of each kind, for metrics."""
         sums = dict.fromkeys(HoldingKind, 0)
@@ -215,7 +203,6 @@
 
     def remove(self, holding: Holding) -> None:
         """Remove a holding."""
-        self.body_ended(holding)
         if holding in self._open:
             del self._open[holding]
             self.total_bytes -= holding.held_bytes
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -25,7 +25,13 @@
     has_body,
     read_request,
 )
-from cicadawheel.http.pieces import FIELD_OBJECTS_BYTES, too_small
+from cicadawheel.http.pieces import (
+    FIELD_OBJECTS_BYTES,
+    PIECES_PER_TURN,
+    PieceTurn,
+    PieceTurns,
+    too_small,
+)
 from cicadawheel.http.refused_pace import RefusedPace
 from cicadawheel.http.run_order import DEFAULT_LIMITS, AheadLimits, RunOrder
 from cicadawheel.http.unread import has_unread_bytes
@@ -134,6 +140,10 @@
         self._held_back = False
         self._holdings = holdings
         self._holding: Holding | None = None
+        self._turns = PieceTurns() if holdings is None else holdings.piece_turns
+        self._turn: PieceTurn | None = None
+        self._small_pieces = 0
+        """The small chunks that were read in this turn."""
         self._written_bytes = 0
         self._taken_bytes = 0
 
@@ -196,6 +206,8 @@
         finally:
             if self._holding is not None:
                 self._holding.release()
+            if self._turn is not None:
+                self._turn.cancel()
             self.service.connection_closed(self)
 
     def pause_holding(self) -> None:
@@ -331,12 +343,22 @@
         if self._transport is None:
             return
         is_full = (self._requests or not self.writable) and self._is_full()
-        if is_full or self._held_back or self._turn_pending:
+        if is_full or self._held_back or self._waits_unread():
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
         self._update_holding()
 
+    def _waits_unread(self) -> bool:
+        """Return whether nothing more is read until the next turn.
+
+        One that waits for its turn with a body is read a little further, so that the
+        end of its connection is noticed.
+        """
+        if self._turn is None:
+            return self._turn_pending
+        return len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES
+
     def _read_on(self) -> None:
         """Process received bytes that had to wait."""
         if self._processing_events or self._transport is None:
@@ -371,6 +393,7 @@
         self._holding.move(taken_bytes - self._taken_bytes)
         self._taken_bytes = taken_bytes
         sends = self._receives_body() and not self._is_full()
+        sends = sends and not self._turn_pending
         self._holding.expect(sends or unsent_bytes > 0)
         fields = sum(request.fields for request in self._requests)
         objects_bytes = len(self._requests) * REQUEST_OBJECTS_BYTES
@@ -508,20 +531,32 @@
             # The chunks of what remains are too small to be read for nothing.
             self._close()
 
+    def _wait_for_turn(self) -> None:
+        """Let other bodies in very small chunks have their turns first."""
+        self._small_pieces = 0
+        self._turn_pending = True
+        pieces = self._requests[-1].body_pieces
+        self._turn = self._turns.wait(pieces, self._process_next_turn)
+
     def _process_next_turn(self) -> None:
         self._turn_pending = False
+        self._turn = None
         if self._transport is not None:
             self._process_events()
             self._close_if_idle()
 
     def _process_events(self) -> None:
         if self._turn_pending:
+            self.update_reading()
             return
         self._processing_events = True
         try:
             for _ in range(EVENTS_PER_TURN):
                 if self._transport is None or not self._process_event():
                     break
+                if self._small_pieces >= PIECES_PER_TURN and self._requests:
+                    self._wait_for_turn()
+                    break
             else:
                 self._turn_pending = True
                 asyncio.get_running_loop().call_soon(self._process_next_turn)
@@ -588,8 +623,6 @@
         elif isinstance(event, h11.Data):
             self._receive_body(self._requests[-1], bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            if self._holding is not None:
-                self._holdings.body_ended(self._holding)
             request = self._requests[-1]
             request.whole = True
             request.body_paused = False
@@ -629,20 +662,12 @@
             return
         request.body_bytes += len(data)
         request.body_pieces += 1
-        small = too_small(request.body_pieces, request.body_bytes)
-        if small and not self._admits_small_pieces():
-            reason = "the chunks of the body are too small"
-            log_event(log, "caller_refused", peer=self.peer, reason=reason)
-            self._reject(request, CONTENT_TOO_LARGE_STATUS, reason)
-            return
+        self._small_pieces += too_small(request.body_pieces, request.body_bytes)
         if self._reject_oversized_body(request, request.body_bytes):
             return
         if request.owner is not None:
             request.owner.body_received(data)
 
-    def _admits_small_pieces(self) -> bool:
-        return not self._holding or self._holdings.admits_small_pieces(self._holding)
-
     def _reject_oversized_body(self, request: CallerRequest, body_bytes: int) -> bool:
         """Reject the request with 413 if its body exceeds the limit.
 
--- a/cicadawheel/http/exchange.py
+++ b/cicadawheel/http/exchange.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from cicadawheel.errors import CicadawheelError, ConnectionLostError, ProtocolError
-from cicadawheel.holdings import EndReason, HoldingKind, Holdings
+from cicadawheel.holdings import EndReason, Holding, HoldingKind, Holdings
 from cicadawheel.http.fields import END_OF_MESSAGE, content_length
-from cicadawheel.http.pieces import too_small
+from cicadawheel.http.pieces import PIECES_PER_TURN, too_small
 from cicadawheel.http.unread import has_unread_bytes
 from cicadawheel.logs import log_event
 from cicadawheel.settings import Address, HoldingSettings
@@ -168,26 +168,38 @@
     if isinstance(head, h11.ConnectionClosed):
         return None, b""
     if isinstance(head, h11.Request):
-        _check_body(content_length(head.headers) or 0, 0, body_limit_bytes)
+        _check_body(content_length(head.headers) or 0, body_limit_bytes)
     content = bytearray()
-    pieces = 0
+    pieces = small_pieces = 0
     while True:
         event = await _next_event(connection, reader)
         if isinstance(event, h11.EndOfMessage):
             return head, bytes(content)
         content += event.data
         pieces += 1
-        _check_body(len(content), pieces, body_limit_bytes)
+        _check_body(len(content), body_limit_bytes)
         if holding is not None:
             holding.move(len(event.data))
             holding.hold(len(content))
+        small_pieces += too_small(pieces, len(content))
+        if small_pieces >= PIECES_PER_TURN:
+            small_pieces = 0
+            await _wait_for_turn(pieces, holding)
 
 
-def _check_body(size_bytes: int, pieces: int, limit_bytes: int) -> None:
+async def _wait_for_turn(pieces: int, holding: Holding | None) -> None:
+    """Let others go on before more very small chunks of a body are read."""
+    if holding is None:
+        await asyncio.sleep(0)
+        return
+    holding.expect(False)
+    await holding.account.piece_turns.take(pieces)
+    holding.expect(True)
+
+
+def _check_body(size_bytes: int, limit_bytes: int) -> None:
     if size_bytes > limit_bytes:
         raise h11.RemoteProtocolError("body is too long", 413)
-    if too_small(pieces, size_bytes):
-        raise h11.RemoteProtocolError("the chunks of the body are too small", 413)
 
 
 class HttpServer:
