A refusal is lost where its client sends small chunks

The client lost a 404 or a 503, and with the 503 the promise that its request hasn't run.

The rest is now discarded unparsed until the client closes, or for the two seconds of any early answer.

test_answer_to_the_head_reaches_a_client_that_sends_small_chunks failed before with ConnectionResetError.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -509,9 +509,13 @@
         socket, and the caller could lose the answer, so the caller closes first or
         `LINGER_TIMEOUT_S` passes.
         """
-        if not self._sends_ahead:
+        if self._sends_ahead:
+            self._discard_rest()
+        else:
             self._close()
-            return
+
+    def _discard_rest(self) -> None:
+        """Discard all that comes until the caller closes or the time is up."""
         self.state = ConnectionState.ENDING
         self._idle_since_s = asyncio.get_running_loop().time()
         # Fails if the caller has reset the connection, which is noticed next.
@@ -527,9 +531,12 @@
     def _discard_body(self) -> None:
         discard_body(self._http)
         unread = self._http.their_state is h11.SEND_BODY
-        if not unread or len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
-            # The chunks of what remains are too small to be read for nothing.
+        if not unread:
             self._close()
+        elif len(self._http.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
+            # The chunks of what remains are too small to be parsed for nothing.
+            self._http.take_unread()
+            self._discard_rest()
 
     def _wait_for_turn(self) -> None:
         """Let other bodies in very small chunks have their turns first."""
--- a/test/test_small_chunks.py
+++ b/test/test_small_chunks.py
@@ -47,6 +47,9 @@
         self.lost = 0
 
     def begin_call(self, request, head):
+        if head.target == b"/none":
+            request.respond(404, (), b"%d" % BODY_BYTES)
+            return None
         return Upload(request, self)
 
     def connection_opened(self, connection):
@@ -147,6 +150,20 @@
     on_ports(work)
 
 
+# Guards against connections that are reset before their client has read a refusal.
+def test_answer_to_the_head_reaches_a_client_that_sends_small_chunks(on_ports):
+    async def work(ports):
+        reader, writer = await asyncio.open_connection(*ports.at["entry"])
+        writer.write(HEAD.replace(b"/x", b"/none"))
+        for _ in range(100):
+            writer.write(b"a\r\nxxxxxxxxxx\r\n" * 1_000)
+            await writer.drain()
+        assert (await reader.read()).endswith(b"%d" % BODY_BYTES)
+        writer.close()
+
+    on_ports(work)
+
+
 def test_client_that_leaves_while_its_body_waits_ends_its_call(on_ports):
     async def work(ports):
         crowd = [asyncio.ensure_future(ports.send_on("entry")) for _ in range(20)]
