Clients that are slow or pause are cut off while nothing is short

An upload of one line now and then, and a download that pauses for longer, are legal: documents limit the time of a head and of an idle connection only.

Slow clients are now ended while over a quarter of the bytes or of the connections is in use, and for 30 s after that. In calm the deadline of the call ends them. The crowds of test_crowds.py hold.

test_nobody_is_slow_while_the_process_does_not_read asked for the end of a slow client that alone held 1,000 of 10,000,000 bytes. It now asks for the same beside another that holds 3,000,000. The new test_slow_clients_are_ended_only_where_they_take_room_from_others failed before: all 20 slow clients were ended in calm.

--- a/cicadawheel/holdings.py
+++ b/cicadawheel/holdings.py
@@ -19,6 +19,10 @@
 
 CHECK_INTERVAL_MS = 500.0
 """How often rates are measured; several times within the grace."""
+CALM_SHARE = 0.25
+"""Share of the limits up to which slow clients are left alone, as nothing is short."""
+CALM_AFTER_MS = 30_000.0
+"""How long they are ended after that: those that slow down again stay a crowd."""
 PAUSE_SHARE = 0.5
 """Share of the limit above which the largest holders are no longer read."""
 END_SHARE = 0.8
@@ -28,6 +32,8 @@
 """
 STALLED_MS = 1_000.0
 """A client that has sent or taken nothing for this long is ended before others."""
+DEFAULT_CLIENTS_LIMIT = 1_024
+"""How many clients a process serves at a time, where its settings don't tell."""
 ORDINARY_BYTES = 16_384
 """A holder of no more than this is never ended for the sake of others."""
 
@@ -125,6 +131,11 @@
         """Remove the holding from the account."""
         self.account.remove(self)
 
+    @property
+    def is_waited_for(self) -> bool:
+        """Whether the client is to send or take bytes now."""
+        return self._waiting_since_ms is not None
+
     def is_stalled(self, now_ms: float) -> bool:
         """Return whether the client was to act and has done nothing for a while."""
         if self._waiting_since_ms is None or self.paused:
@@ -154,15 +165,24 @@
         What may be held, and the minimum rate.
     clock : Clock
         The time source.
+    clients_limit : int
+        How many clients the process serves at a time.
     """
 
-    def __init__(self, settings: HoldingSettings, clock: Clock):
+    def __init__(
+        self,
+        settings: HoldingSettings,
+        clock: Clock,
+        clients_limit: int = DEFAULT_CLIENTS_LIMIT,
+    ):
         self.settings = settings
         self.clock = clock
+        self.clients_limit = clients_limit
         self.total_bytes = 0
         self.ended: Counter[EndReason] = Counter()
         self._open: dict[Holding, None] = {}
         self.piece_turns = PieceTurns()
+        self._short_at_ms = -CALM_AFTER_MS
 
     def open(self, kind: HoldingKind, peer: str, holder: Holder) -> Holding:
         """Return a new holding, with nothing held yet."""
@@ -196,6 +216,8 @@
             self._resume(holding)
         if not grows:
             return
+        if self.total_bytes > CALM_SHARE * self.settings.held_bytes:
+            self._short_at_ms = self.clock.now_ms()
         if self.total_bytes > END_SHARE * self.settings.held_bytes:
             self._end_largest()
         if self.total_bytes > PAUSE_SHARE * self.settings.held_bytes:
@@ -210,12 +232,13 @@
     def check(self, now_ms: float) -> None:
         """End the clients that are too slow, and read paused ones again.
 
-        In calm the minimum rate is that of the settings. Nobody is read again until
-        enough is free, and then the smallest come first.
+        In calm nobody is too slow. Nobody is read again until enough is free, and then
+        the smallest come first.
         """
         slow = [one for one in self._open if one.measure(now_ms, self.settings)]
-        for holding in slow:
-            self._end(holding, EndReason.TOO_SLOW)
+        if not self._is_calm(now_ms):
+            for holding in slow:
+                self._end(holding, EndReason.TOO_SLOW)
         paused = [one for one in self._open if one.paused]
         free_bytes = PAUSE_SHARE * self.settings.held_bytes - self.total_bytes
         for holding in sorted(paused, key=_size):
@@ -224,6 +247,14 @@
                 break
             self._resume(holding)
 
+    def _is_calm(self, now_ms: float) -> bool:
+        """Return whether little is held and few clients are waited for, as before."""
+        waited_for = sum(one.is_waited_for for one in self._open)
+        is_full = self.total_bytes > CALM_SHARE * self.settings.held_bytes
+        if is_full or waited_for > CALM_SHARE * self.clients_limit:
+            self._short_at_ms = now_ms
+        return now_ms - self._short_at_ms >= CALM_AFTER_MS
+
     def _pause(self, holding: Holding) -> None:
         """Pause a holder that has grown, unless it holds little."""
         if holding.paused or holding.held_bytes <= ORDINARY_BYTES:
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -129,7 +129,8 @@
             settings.process.name, self.boot, settings.process.key.encode()
         )
         self.metrics = NodeMetrics()
-        self.holdings = Holdings(settings.holdings, timers.clock)
+        clients_limit = settings.entry.connection_limit
+        self.holdings = Holdings(settings.holdings, timers.clock, clients_limit)
         register_holdings(self.metrics.registry, self.holdings)
         self.random = Random(settings.process.random_seed or None)
         self.supervisor = Supervisor("node", timers.clock)
--- a/test/test_holdings.py
+++ b/test/test_holdings.py
@@ -133,6 +133,19 @@
     client.holding.expect(False)
     play(account, [client], 60)
     assert client.reason is None
+    other = account.open(HoldingKind.CALLER, "c", Client(account, 1, 1))
+    other.hold(int(0.3 * LIMIT_BYTES))
     client.holding.expect(True)
     play(account, [client], 6)
     assert client.reason is EndReason.TOO_SLOW
+
+
+# Guards against uploads and downloads that are cut for a client that pauses or is slow,
+# while nothing is short.
+def test_slow_clients_are_ended_only_where_they_take_room_from_others(account):
+    few = [Client(account, 10_000, 100) for _ in range(20)]
+    play(account, few, 60)
+    assert not any(client.reason for client in few)
+    account.clients_limit = 70
+    play(account, few, 6)
+    assert all(client.reason is EndReason.TOO_SLOW for client in few)
