Heads that the document allows get 431 above 32 KiB

A document with a larger max_header_bytes was accepted, and clients within it got 431, which they don't repeat.

A head may now be as long as the newest document allows, and 8 KiB more for its first line, up to 256 KiB. A kept connection takes a new limit with its next bytes.

test_head_within_the_configured_limit_is_read failed before: 431 for 64,000 bytes with a limit of 65,536.

--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -49,6 +49,10 @@
 LINGER_TIMEOUT_S = 2.0
 # Reading pauses if more than this arrives of requests that can't be read yet.
 PIPELINE_LIMIT_BYTES = 65_536
+# A configuration limits the fields of a head; its first line comes beside them.
+REQUEST_LINE_BYTES = 8_192
+# Parsing the fields of a longer head would hold the event loop, whoever allows it.
+LONGEST_HEAD_BYTES = 262_144
 REQUEST_TIMEOUT_STATUS = 408
 CONTENT_TOO_LARGE_STATUS = 413
 NOT_IMPLEMENTED_STATUS = 501
@@ -103,7 +107,7 @@
     service : CallService
         Starts the calls.
     head_limit_bytes : int
-        Maximum size of a request head; a longer one is rejected.
+        Maximum size of a request head, unless the configuration allows a longer one.
     ahead : AheadLimits
         Limits on the requests that are sent before the first one is answered.
     holdings : Holdings or None
@@ -163,6 +167,7 @@
         """Parse received bytes and handle the resulting events."""
         if self.state is ConnectionState.ENDING:
             return
+        self._http.limit_head(self._longest_head_bytes())
         self._http.receive_data(data)
         if self._holding is not None and self._requests:
             self._holding.move(len(data))
@@ -409,6 +414,14 @@
             h11.SERVER, max_incomplete_event_size=self._head_limit_bytes
         )
 
+    def _longest_head_bytes(self) -> int:
+        """Return the size of the longest head that is read."""
+        allowed_bytes = self.service.caller_limits().head_bytes
+        if not allowed_bytes:
+            return self._head_limit_bytes
+        allowed_bytes = min(LONGEST_HEAD_BYTES, allowed_bytes + REQUEST_LINE_BYTES)
+        return max(self._head_limit_bytes, allowed_bytes)
+
     def _is_full(self) -> bool:
         if any(request.body_paused for request in self._requests):
             return True
@@ -604,6 +617,7 @@
         received = self._http.take_unread()
         if received:
             self._http = self._make_http()
+            self._http.limit_head(self._longest_head_bytes())
             self._http.receive_data(received)
         return bool(received)
 
--- a/cicadawheel/http/caller_request.py
+++ b/cicadawheel/http/caller_request.py
@@ -32,6 +32,10 @@
 class RequestParser(h11.Connection):
     """Parses one request, and frames its answer."""
 
+    def limit_head(self, limit_bytes: int) -> None:
+        """Set the size of the longest head; the newest configuration may change it."""
+        self._max_incomplete_event_size = limit_bytes
+
     def take_unread(self) -> bytes:
         """Return what was received behind the request, and keep nothing of it.
 
--- a/test/test_caller_limits.py
+++ b/test/test_caller_limits.py
@@ -21,6 +21,7 @@
         self.requests = []
         self.body = b""
         self.lost = 0
+        self.limits = LIMITS
 
     def begin_call(self, connection, request):
         self.requests.append(request)
@@ -33,7 +34,7 @@
         pass
 
     def caller_limits(self):
-        return LIMITS
+        return self.limits
 
     def body_received(self, data):
         self.body += data
@@ -119,6 +120,31 @@
     on_connection(scenario)
 
 
+# Guards against 431 for a head that the configuration allows, also a new one while the
+# connection is open.
+@pytest.mark.parametrize("field_bytes", [60_000, 20])
+def test_head_within_the_configured_limit_is_read(on_connection, field_bytes):
+    field = b"a: " + b"x" * field_bytes + b"\r\n"
+    request = head("GET")[:-2] + field * (64_000 // len(field)) + b"\r\n"
+
+    def scenario(connection, service, transport):
+        service.limits = msgspec.structs.replace(LIMITS, head_bytes=65_536)
+        connection.data_received(request[:50_000])
+        connection.data_received(request[50_000:])
+        assert len(service.requests) == 1
+        assert not transport.written
+
+    on_connection(scenario)
+
+
+def test_head_above_the_limit_of_the_settings_is_rejected(on_connection):
+    def scenario(connection, service, transport):
+        connection.data_received(head("GET")[:-2] + b"a: " + b"x" * 20_000)
+        assert transport.written.startswith(b"HTTP/1.1 431")
+
+    on_connection(scenario)
+
+
 @pytest.mark.parametrize(
     "framing_fields",
     [
