Time limits of very many milliseconds get 400

Up to 20 digits are read, and the route's limit is used as it is where it is shorter.

test_caller_without_a_limit_gets_the_deadline_of_the_route failed before: a CallerFault in both cases.

--- a/cicadawheel/entry/plan.py
+++ b/cicadawheel/entry/plan.py
@@ -26,7 +26,8 @@
 KEY_LIMIT_BYTES = 200
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 OTHER_ROUTE = "other"
-NUMBER_LIMIT_DIGITS = 12
+NUMBER_LIMIT_DIGITS = 20
+"""As many as a 64-bit number has, which some clients send for no limit."""
 UNNORMALISED_MARKS = ("//", "/.", "%")
 
 
@@ -66,8 +67,8 @@
     route = routes.find(host, target)
     if route is None:
         return CallerFault.NO_ROUTE
-    requested_ms = _parse_number(headers, dialect.deadline_ms, int(route.deadline_ms))
-    if not requested_ms:
+    deadline_ms = _shorter_deadline_ms(headers, route.deadline_ms, dialect)
+    if deadline_ms is None:
         return CallerFault.BAD_DEADLINE
     return CallPlan(
         request=_request_id(headers, dialect),
@@ -76,7 +77,7 @@
         method=request.method.decode(),
         target=target,
         repeatable=route.repeat is RepeatRule.REPEATABLE,
-        deadline_ms=min(route.deadline_ms, float(requested_ms)),
+        deadline_ms=deadline_ms,
         depth=1,
         key=IdempotencyKey(""),
         hedge_after_quantile=0.0,
@@ -205,7 +206,17 @@
 ) -> float | None:
     rule_ms = route.deadline_ms if route is not None else service.deadline_ms
     limit_ms = rule_ms or settings.default_deadline_ms
-    requested_ms = _parse_number(headers, dialect.deadline_ms, int(limit_ms))
-    if not requested_ms:
-        return None
-    return min(limit_ms, float(requested_ms))
+    return _shorter_deadline_ms(headers, limit_ms, dialect)
+
+
+def _shorter_deadline_ms(
+    headers: Headers, limit_ms: float, dialect: Dialect
+) -> float | None:
+    """Return the shorter of a limit and the caller's deadline, None if it is invalid.
+
+    The limit may be below a millisecond.
+    """
+    if find_field(headers, dialect.deadline_ms) is None:
+        return limit_ms
+    requested_ms = _parse_number(headers, dialect.deadline_ms, 0)
+    return min(limit_ms, float(requested_ms)) if requested_ms else None
--- a/test/test_routes.py
+++ b/test/test_routes.py
@@ -135,6 +135,17 @@
     assert make_plan(table, **asked).deadline_ms == 1_000.0
 
 
+# Guards against 400 for callers that send the largest number for no limit, or none at
+# all on a route whose deadline is below a millisecond.
+@pytest.mark.parametrize(
+    "asked", [{}, {"cicadawheel-deadline-ms": b"%d" % (2**63 - 1)}]
+)
+def test_caller_without_a_limit_gets_the_deadline_of_the_route(asked):
+    for deadline_ms in (0.5, 1_000.0):
+        table = make_table(make_route("one.example", "/x/", deadline_ms=deadline_ms))
+        assert make_plan(table, **asked).deadline_ms == deadline_ms
+
+
 def test_plan_needs_no_key(table):
     plan = make_plan(table)
     assert (plan.claimed, plan.attempts, plan.priority) == (False, 2, 1)
