Limits below 0 in a document refuse all that they limit

Each request with a body then got 413, and each idle connection was closed at its first check.

Limits that aren't above 0 now mean no limit of the document, as 0 did.

test_limit_that_is_not_above_zero_is_none[-1] failed before.

--- a/cicadawheel/platform/document.py
+++ b/cicadawheel/platform/document.py
@@ -190,9 +190,10 @@
 
 
 def _caller_limits(limits: LimitsBody) -> CallerLimits:
+    """Return the limits; as 0, a negative one stands for none."""
     return CallerLimits(
-        head_bytes=limits.max_header_bytes,
-        body_bytes=limits.max_body_bytes,
-        head_timeout_ms=limits.header_timeout_s * MS_PER_S,
-        idle_timeout_ms=limits.idle_timeout_s * MS_PER_S,
+        head_bytes=max(0, limits.max_header_bytes),
+        body_bytes=max(0, limits.max_body_bytes),
+        head_timeout_ms=max(0.0, limits.header_timeout_s) * MS_PER_S,
+        idle_timeout_ms=max(0.0, limits.idle_timeout_s) * MS_PER_S,
     )
--- a/test/test_platform_formats.py
+++ b/test/test_platform_formats.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cicadawheel.configuration import (
+    CallerLimits,
     MeasuringBudget,
     ReleaseHabits,
     RepeatRule,
@@ -64,6 +65,14 @@
     return msgspec.json.encode({**body, **fields})
 
 
+# Guards against 413 for each body where a document has -1 for no limit.
+@pytest.mark.parametrize("limit", [-1, 0])
+def test_limit_that_is_not_above_zero_is_none(limit):
+    names = ("max_header_bytes", "max_body_bytes", "header_timeout_s", "idle_timeout_s")
+    document = make_document(limits=dict.fromkeys(names, limit))
+    assert decode_document(document, HABITS).callers == CallerLimits()
+
+
 def test_document_is_decoded():
     document = decode_document(make_document(), HABITS)
     rules = document.configuration(("north",), MeasuringBudget())
