After a crash, requests run on a version without a rollout

The gate is now one of the current version, or, if none is left, of a version in release. The entry refuses a node that a gate names against the configuration.

--- a/cicadawheel/configuration.py
+++ b/cicadawheel/configuration.py
@@ -177,6 +177,9 @@
     done_at_ms: int = 0
 
 
+ACTIVE_STATES = (ReleaseState.STAGED, ReleaseState.RISING, ReleaseState.LATE)
+"""States in which calls go to the old and to the new version."""
+
 Withdrawal = tuple[ServiceName, VersionName]
 """A service, and a version of it that was taken back."""
 
@@ -220,6 +223,23 @@
         """Return whether a version of a service was taken back."""
         return (service, version) in self.withdrawn
 
+    def may_run(self, service: ServiceName, version: VersionName) -> bool:
+        """Return whether calls of a service may go to a version of it.
+
+        Upstreams of other versions may stand by for a release that isn't started yet.
+        """
+        rule = self.services.get(service)
+        if rule is None or self.is_withdrawn(service, version):
+            return False
+        if rule.current_version in ("", version):
+            return True
+        release = self.release_of(service)
+        return (
+            release is not None
+            and release.version == version
+            and release.state in ACTIVE_STATES
+        )
+
     def takes_new_work(self, data_centre: DataCentreName) -> bool:
         """Return whether a data centre accepts new calls."""
         rule = self.data_centres.get(data_centre)
--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -314,7 +314,7 @@
         now_ms = self.clock.now_ms()
         choice = self.versions.choose(plan.service, retry=bool(tried))
         if only_at:
-            member = self.router.member(only_at)
+            member = self._allowed_member(only_at)
         else:
             member = self._pick_of_version(plan, choice, tried, now_ms, profile)
         if member is None and not tried:
@@ -325,6 +325,14 @@
         work_ms = self.router.work_done_ms(member.node, now_ms)
         return Pick(member, choice, now_ms, work_ms)
 
+    def _allowed_member(self, node: NodeId) -> Member | None:
+        """Return the member at a node if its version may run calls, or None."""
+        member = self.router.member(node)
+        if member is None:
+            return None
+        allowed = self.configuration.may_run(member.service, member.version)
+        return member if allowed else None
+
     def log_placement(self, plan: CallPlan, pick: Pick, attempts: int) -> None:
         """Log the selected upstream and the load estimate behind the selection."""
         load_estimate = self.router.load_estimate(pick.member.node, pick.at_ms)
--- a/cicadawheel/node/service_peers.py
+++ b/cicadawheel/node/service_peers.py
@@ -28,15 +28,24 @@
         self.control = control
 
     def testers(self) -> list[NodeId]:
-        """Return the other nodes of the service that may test a suspect request."""
+        """Return the other nodes of the service that may test a suspect request.
+
+        Those of the current version come first: another one may be the one at fault.
+        """
         configuration = self.gate.configuration
-        return [
-            member.node
+        allowed = [
+            member
             for member in self._others()
             if not member.leaving
             and configuration.takes_new_work(member.data_centre)
-            and not configuration.is_withdrawn(member.service, member.version)
+            and configuration.may_run(member.service, member.version)
+        ]
+        current = [
+            member
+            for member in allowed
+            if member.version == configuration.services[member.service].current_version
         ]
+        return [member.node for member in current or allowed]
 
     def notify(self, notice: CrashNotice) -> None:
         """Notify the other gates of a crash or the end of a test."""
--- a/cicadawheel/release/plan.py
+++ b/cicadawheel/release/plan.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from cicadawheel.configuration import ReleaseHabits, ReleaseRule, ReleaseState
+from cicadawheel.configuration import (
+    ACTIVE_STATES,
+    ReleaseHabits,
+    ReleaseRule,
+    ReleaseState,
+)
 
 FIRST_SHARE_DIVISOR = 5
 RISING_SHARES = (0.1, 0.2, 0.4, 0.7)
@@ -19,7 +24,6 @@
 STAGE_CHANGE_MS = 3_000.0
 MONITORING_MS = 86_400_000
 ENDED_STATES = (ReleaseState.TAKEN_BACK, ReleaseState.STOPPED)
-ACTIVE_STATES = (ReleaseState.STAGED, ReleaseState.RISING, ReleaseState.LATE)
 
 
 class Stage(msgspec.Struct, frozen=True):
