Uploads whose clients have left are passed on to backends

A node asks the kernel every 200 ms about connections that have a request and aren't read, and ends those whose client has left. The reason of the pause doesn't matter: a slot, the account, requests ahead, a turn.

--- a/cicadawheel/entry/entry.py
+++ b/cicadawheel/entry/entry.py
@@ -228,6 +228,11 @@
         for connection in list(self._connections):
             connection.check_timeouts(now_s)
 
+    def end_left(self, now_ms: float) -> None:
+        """Close the connections whose clients have left while they aren't read."""
+        for connection in list(self._connections):
+            connection.end_if_left()
+
     def begin_call(
         self, connection: CallerRequest, request: RequestHead
     ) -> EntryCall | None:
--- a/cicadawheel/http/caller.py
+++ b/cicadawheel/http/caller.py
@@ -34,7 +34,7 @@
 )
 from cicadawheel.http.refused_pace import RefusedPace
 from cicadawheel.http.run_order import DEFAULT_LIMITS, AheadLimits, RunOrder
-from cicadawheel.http.unread import has_unread_bytes
+from cicadawheel.http.unread import has_left, has_unread_bytes
 from cicadawheel.logs import log_event
 from cicadawheel.messages import Header
 from cicadawheel.timer import MS_PER_S
@@ -44,6 +44,7 @@
 HEAD_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
 CHECK_INTERVAL_MS = 1_000.0
+LEFT_CHECK_INTERVAL_MS = 200.0
 # How long the rest of a request body is read and discarded after an early response.
 # Closing a socket with unread data resets it, and the caller could lose the response.
 LINGER_TIMEOUT_S = 2.0
@@ -197,6 +198,17 @@
         elif head_started_s is None and now_s - self._idle_since_s > idle_timeout_s:
             self._close()
 
+    def end_if_left(self) -> None:
+        """Close the connection if its client has left while it isn't read.
+
+        The transport would notice that only once it is read again.
+        """
+        if self._transport is None or not self._requests:
+            return
+        if not self._transport.is_reading() and has_left(self._transport):
+            log_event(log, "caller_left_unread", peer=self.peer)
+            self._transport.close()
+
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side."""
         return False
--- a/cicadawheel/node/daemon.py
+++ b/cicadawheel/node/daemon.py
@@ -176,6 +176,7 @@
         timers.every(CHECK_INTERVAL_MS, self.holdings.check)
         timers.every(peers.CHECK_INTERVAL_MS, self.links.check)
         timers.every(caller.CHECK_INTERVAL_MS, self.entry.close_idle)
+        timers.every(caller.LEFT_CHECK_INTERVAL_MS, self.entry.end_left)
         timers.every(ANNOUNCE_REPEAT_MS, self._check_announcement)
         self.gate.publisher.listeners.add(partial(self.entry.observe, self.node))
         self.gate.repeats.count = self.metrics.count_repeat
