--- a/cicadawheel/control/state/machine.py
+++ b/cicadawheel/control/state/machine.py
@@ -131,7 +131,9 @@
         self.claims.restore(snapshot.claims)
         self.quarantine.restore(snapshot.quarantined)
         self.documents.restore(snapshot.documents)
-        if snapshot.documents.document:
+        is_unset = self.configuration.routing is Routing.UNSET
+        if is_unset and snapshot.documents.document:
+            # Written by a version that did not store how calls are routed.
             self.configuration = _routed_by_host(self.configuration)
 
     def _apply_operation(self, index: LogIndex, command: OperatorCommand) -> Outcome:
--- a/test/test_empty_rules.py
+++ b/test/test_empty_rules.py
@@ -117,6 +117,16 @@
     assert new.call_routing() is Routing.BY_HOST
 
 
+def test_answers_file_after_a_document_is_routed_by_service_also_after_a_restart(
+    driver,
+):
+    driver.state.apply(driver.index + 1, put_document(1, make_rules()))
+    driver.index += 1
+    driver.operate(ApplyConfiguration, "op-1", configuration=make_rules())
+    driver.restart()
+    assert driver.state.configuration.call_routing() is Routing.BY_SERVICE
+
+
 def test_stored_document_of_an_earlier_version_is_routed_by_host(driver):
     driver.state.apply(driver.index + 1, put_document(1, make_rules()))
     unset = msgspec.structs.replace(driver.state.configuration, routing=Routing.UNSET)
