A test of the log fails if an earlier test logged the same event

Evidence: a run of the files up to test_leaderless.py, with the logger's cache printed after each test, shows {INFO: False} from test_drain_is_acknowledged_after_its_service_was_dropped on. A plugin that fills the cache before each test made the test fail, 1 of 1; it holds with the same plugin now, the whole file, 1 of 1. The fixture uses setLevel, which clears the caches; the check itself is unchanged. It was not a matter of time or load.

--- a/test/test_leaderless.py
+++ b/test/test_leaderless.py
@@ -56,14 +56,17 @@
 
 
 @pytest.fixture
-def lines(monkeypatch):
+def lines():
     """The events that are logged while a test runs."""
     handler = Lines()
     log = logging.getLogger("cicadawheel")
-    monkeypatch.setattr(log, "level", logging.INFO)
+    level = log.level
+    # Unlike a new value of the attribute, clears what the loggers have cached.
+    log.setLevel(logging.INFO)
     log.addHandler(handler)
     yield handler
     log.removeHandler(handler)
+    log.setLevel(level)
 
 
 @pytest.fixture
