--- a/test/test_shedding.py
+++ b/test/test_shedding.py
@@ -152,7 +152,8 @@
         assert repeats <= BUDGET_SHARE * sent + BUDGET_SLACK
 
 
-def test_nested_call_gets_a_try_whatever_its_priority():
+def begin_calls_after_declines():
+    """Return the admission of an entry, two begun calls by rank, and the time."""
     fleet = SheddingFleet(1, by_priority=True)
     admission, now_ms = fleet.admissions[0], 1_000.0
     for gate in [*range(GATES)] * 20:
@@ -160,6 +161,11 @@
     plans = [make_plan(make_call_of(rank, rank, now_ms), now_ms) for rank in (0, 1)]
     for plan in plans:
         admission.call_began(plan, now_ms)
+    return admission, plans, now_ms
+
+
+def test_nested_call_gets_a_try_whatever_its_priority():
+    admission, plans, now_ms = begin_calls_after_declines()
     assert admission.may_try_elsewhere(plans[0], BUDGET_SHARE, now_ms)
     assert not admission.may_try_elsewhere(plans[1], BUDGET_SHARE, now_ms)
     nested = replace(plans[1], spent_ms=100.0)
@@ -170,13 +176,7 @@
 # declined.
 @pytest.mark.timeout(5)
 def test_decision_after_a_decline_takes_no_longer_with_more_attempts():
-    fleet = SheddingFleet(1, by_priority=True)
-    admission, now_ms = fleet.admissions[0], 1_000.0
-    for gate in [*range(GATES)] * 20:
-        fleet._ended(gate, Result.SHED, now_ms)
-    plans = [make_plan(make_call_of(rank, rank, now_ms), now_ms) for rank in (0, 1)]
-    for plan in plans:
-        admission.call_began(plan, now_ms)
+    admission, plans, now_ms = begin_calls_after_declines()
     unlimited = replace(plans[1], attempts=2**31 - 1)
     assert not admission.may_try_elsewhere(unlimited, BUDGET_SHARE, now_ms)
 
