A test of planned stops fails when its probes fill the backlog

test_stop_exchanges.py opened connections without a pause until the port refused them. Where the daemon's loop stood still for a moment, they filled the backlog of 100; the kernel dropped the next one, which was tried again after a second, long after the 400 ms that a stop grants its exchanges.

Evidence: TcpExtListenOverflows was 1 on this machine after that run. What is checked is the same: the answer comes after the port has stopped listening.

--- a/test/test_stop_exchanges.py
+++ b/test/test_stop_exchanges.py
@@ -58,6 +58,8 @@
             while True:
                 _, writer = await asyncio.open_connection(address.host, address.port)
                 writer.close()
+                # A full backlog would delay the next connection by a second.
+                await asyncio.sleep(0.01)
 
 
 class DaemonThread:
