--- a/review/third/site3.py
+++ b/review/third/site3.py
@@ -460,7 +460,9 @@
             return
         finally:
             self._conns.discard(writer)
-            writer.close()
+            # The loop may have ended before the connection has.
+            with contextlib.suppress(RuntimeError):
+                writer.close()
 
     def health(self):
         """Return the answer to a health check."""
