--- a/review/third/site3.py
+++ b/review/third/site3.py
@@ -406,6 +406,10 @@
             writer.transport.abort()
         self.site.note(self.id, "ends")
 
+    def stop_beats(self):
+        """Send no further heartbeat."""
+        self._beats.cancel()
+
     def cold_s(self):
         """Return how long the backend stays cold."""
         return max(0.0, self.cold_until - time.monotonic())
